Check servers that the platform no longer lists

Unlisted servers whose callers wait are checked like others. A check that passes at an address where the platform has listed another server since counts as refused. Suspects that are unlisted are not checked again: nothing depends on it.

--- a/core/placement/mark_view.cc
+++ b/core/placement/mark_view.cc
@@ -1,6 +1,7 @@
 #include "core/placement/mark_view.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace knapweedlift {
@@ -19,6 +20,40 @@
   return number;
 }
 
+std::set<std::string> RoutedServices(const Registry& registry) {
+  std::set<std::string> services;
+  for (const auto& [address, record] : registry.routes) {
+    if (record.gone) continue;
+    for (const RouteShare& share : record.fact.shares) {
+      services.insert(share.service);
+    }
+  }
+  return services;
+}
+
+// An address belongs to the server that the platform listed there last. Entries
+// of services that no route names may be anything.
+void NoteReplaced(const Registry& registry, MarkView& view) {
+  struct Owner {
+    Revision revision = 0;
+    Mark mark = kNoMark;
+  };
+  const std::set<std::string> services = RoutedServices(registry);
+  absl::flat_hash_map<Endpoint, Owner> owners;
+  for (const auto& [name, record] : registry.servers) {
+    if (record.gone || !services.contains(record.fact.service)) continue;
+    Owner& owner = owners[record.fact.endpoint];
+    if (record.revision > owner.revision) {
+      owner = {.revision = record.revision, .mark = record.fact.mark};
+    }
+  }
+  for (ServerTarget& server : view.servers) {
+    const auto found = owners.find(server.fact.endpoint);
+    server.replaced =
+        found != owners.end() && found->second.mark != server.fact.mark;
+  }
+}
+
 RouteTarget TargetOf(const RouteFact& route, ViewMemory& memory) {
   RouteTarget target;
   uint64_t weight = 0;
@@ -63,6 +98,7 @@
   for (ServerTarget& server : view.servers) {
     if (view.by_mark[server.fact.mark] == kSharedMark) server.placeable = false;
   }
+  NoteReplaced(registry, view);
   view.routes.reserve(registry.routes.size());
   for (const auto& [address, record] : registry.routes) {
     if (record.gone) continue;
--- a/core/placement/mark_view.h
+++ b/core/placement/mark_view.h
@@ -30,6 +30,8 @@
   bool local = false;
   // The platform no longer lists it; its flows may go on.
   bool gone = false;
+  // The platform has listed another server at its address since.
+  bool replaced = false;
   // It may be given new flows.
   bool placeable = false;
   // It does not answer: new flows go elsewhere where that is possible.
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -52,7 +52,7 @@
 void HealthMonitor::Tick(TimePoint now) {
   LookForSilence(now);
   for (const Mark mark : TakeDueChecks(table_, now)) {
-    StartCheck(mark, Duration(0));
+    if (MayReturn(mark)) StartCheck(mark, Duration(0));
   }
   if (ExpireReports(table_, now)) take_change_();
   EndSuspects(now);
@@ -94,13 +94,18 @@
   if (recovered) take_change_();
 }
 
+bool HealthMonitor::MayReturn(Mark mark) const {
+  const MarkViewPtr view = view_.view();
+  const ServerIndex index = ServerOfMark(*view, mark);
+  return index < view->servers.size() && !view->servers[index].gone;
+}
+
 void HealthMonitor::StartCheck(Mark mark, Duration delay) {
   // Other VMs may name suspects before this one knows any server.
   const MarkViewPtr view = view_.view();
   if (view == nullptr) return;
   const ServerIndex index = ServerOfMark(*view, mark);
   if (index >= view->servers.size() || checks_under_way_ >= kMaxChecks) return;
-  if (view->servers[index].gone) return;
   ++checks_under_way_;
   const Endpoint endpoint = view->servers[index].fact.endpoint;
   fiber([this, mark, endpoint, delay] {
@@ -149,8 +154,11 @@
   if (index >= view->servers.size()) return;
   const ServerTarget& server = view->servers[index];
   const bool fresh = FactsAreFresh(link_.state(), now);
+  // Whoever answers at the address of a replaced server is not that server.
+  if (server.replaced) outcome = CheckOutcome::kRefused;
   const CheckedServer checked{
-      .may_be_leaving = (server.fact.draining && !server.gone) || !fresh,
+      .may_be_leaving = !server.replaced &&
+                        (!fresh || (server.fact.draining && !server.gone)),
       .listed = fresh && !server.gone};
   const bool was_suspect = IsSuspect(table_, mark, now);
   const bool could_end = MayEndFlows(table_, mark);
--- a/servers/marks/health_monitor.h
+++ b/servers/marks/health_monitor.h
@@ -45,6 +45,8 @@
 
  private:
   void LookForSilence(TimePoint now);
+  // False for a server that the platform no longer lists.
+  bool MayReturn(Mark mark) const;
   void StartCheck(Mark mark, Duration delay);
   CheckOutcome Check(Mark mark, const Endpoint& endpoint);
   bool ControlPasses(Mark mark);
--- a/tests/core/mark_test.cc
+++ b/tests/core/mark_test.cc
@@ -124,3 +124,25 @@
             "the number before the packet names the old server, and the new "
             "one ignores it");
 }
+
+Test(mark, an_address_belongs_to_the_server_that_was_listed_there_last) {
+  Registry registry = RegistryOf({Server(1), Server(3)});
+  ServerFact heir = Server(2);
+  heir.endpoint = Server(1).endpoint;
+  // An entry of another writer: no route leads to its service.
+  ServerFact foreign = Server(4, "a", "unheard-of");
+  foreign.endpoint = Server(3).endpoint;
+  FactDelta delta{.after = 10, .as_of = 12};
+  delta.servers.push_back({.name = heir.name, .revision = 11, .server = heir});
+  delta.servers.push_back(
+      {.name = foreign.name, .revision = 12, .server = foreign});
+  MergeDelta(registry, delta, At(0));
+  ViewMemory memory;
+  const MarkView view = MakeMarkView(registry, {}, "a", At(300), memory);
+  const auto replaced = [&view](uint8_t number) {
+    return view.servers[ServerOfMark(view, Server(number).mark)].replaced;
+  };
+  cr_expect(replaced(1));
+  cr_expect(not replaced(2));
+  cr_expect(not replaced(3));
+}
--- a/tests/lab/marks/world_test.cc
+++ b/tests/lab/marks/world_test.cc
@@ -65,6 +65,26 @@
             its_flows);
 }
 
+// Found on the bench: entries had expired while the store was down, so that
+// servers that crashed then were never checked.
+Test(marks_world, flows_of_an_unlisted_server_that_falls_silent_end,
+     .timeout = 120) {
+  Deployment deployment;
+  deployment.StartCallers();
+  cr_assert(deployment.world.FlowsOf(deployment.servers[0]) > 0);
+  deployment.world.Unlist(deployment.servers[0]);
+  deployment.world.Run(Duration(1'000));
+  cr_expect(deployment.world.Sum().broken == 0, "it serves its flows on");
+  deployment.world.Darken(deployment.servers[0]);
+  const auto ended = [&] {
+    const CallerTotals sum = deployment.world.Sum();
+    return sum.broken + sum.lost > 0;
+  };
+  cr_assert(deployment.world.RunUntil(ended, kPatience));
+  cr_expect(deployment.world.Sum().lost == 0, "callers are told in time");
+  deployment.Finish();
+}
+
 Test(marks_world, a_vm_that_the_store_refuses_follows_the_others,
      .timeout = 120) {
   for (const StoreMode mode : {StoreMode::kBusy, StoreMode::kMany,
