Hold removals for a while after an outage of the platform

Cause: entries of living servers expire while the store is down and come back one by one, about two seconds after it.

The watcher holds removals for 2.5 s after an outage that can have expired entries, which is two heartbeats; the hold travels with the delta. A held server gets new flows unless it was leaving, fails checks or another has its address.

Ruled out: waiting with the whole delta (a drain that the store took before the outage would be late), and a hold on each VM's own account (a VM that was paused would hold what its peers know to be gone).

--- a/core/placement/mark_view.cc
+++ b/core/placement/mark_view.cc
@@ -51,6 +51,7 @@
     const auto found = owners.find(server.fact.endpoint);
     server.replaced =
         found != owners.end() && found->second.mark != server.fact.mark;
+    if (server.replaced) server.placeable = false;
   }
 }
 
@@ -82,10 +83,14 @@
     AddMark(view, record.fact.mark, view.servers.size());
     auto& load = memory.loads[record.fact.mark];
     if (load == nullptr) load = std::make_shared<LiveLoad>();
+    const bool held = record.gone && now < record.held_until;
+    if (held) view.valid_until = std::min(view.valid_until, record.held_until);
+    const bool there = !record.gone || held;
     view.servers.push_back({.fact = record.fact,
                             .local = record.fact.domain == domain,
                             .gone = record.gone,
-                            .placeable = !record.gone && !record.fact.draining,
+                            .held = held,
+                            .placeable = there && !record.fact.draining,
                             .suspect = IsSuspect(health, record.fact.mark, now),
                             .ended = MayEndFlows(health, record.fact.mark),
                             .service_number = NumberOfService(
--- a/core/placement/mark_view.h
+++ b/core/placement/mark_view.h
@@ -30,6 +30,8 @@
   bool local = false;
   // The platform no longer lists it; its flows may go on.
   bool gone = false;
+  // It is gone since an outage of the platform and may come back.
+  bool held = false;
   // The platform has listed another server at its address since.
   bool replaced = false;
   // It may be given new flows.
@@ -71,6 +73,8 @@
   std::vector<std::vector<ServerIndex>> placeable;
   absl::flat_hash_map<Endpoint, RouteTarget> routes;
   LimitsFact limits;
+  // When the first hold of a server ends, and with it this view.
+  TimePoint valid_until = TimePoint::max();
 };
 
 using MarkViewPtr = std::shared_ptr<const MarkView>;
--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -109,6 +109,8 @@
   std::vector<ServerChange> servers;
   std::vector<RouteChange> routes;
   std::optional<LimitsChange> limits;
+  // Until then servers that it removes may come back, see RemovalHold.
+  TimePoint removals_held_until;
 
   auto operator<=>(const FactDelta&) const = default;
 };
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -7,15 +7,33 @@
 namespace knapweedlift {
 namespace {
 
+void Remove(ServerRecord& record, Revision revision, const FactDelta& delta,
+            TimePoint now) {
+  record.gone = true;
+  record.revision = revision;
+  record.learnt_at = now;
+  record.held_until = delta.removals_held_until;
+}
+
+void Remove(RouteRecord& record, Revision revision, const FactDelta& /*delta*/,
+            TimePoint now) {
+  record.gone = true;
+  record.revision = revision;
+  record.learnt_at = now;
+}
+
 void MergeServer(Registry& registry, const ServerChange& change,
-                 TimePoint now) {
+                 const FactDelta& delta, TimePoint now) {
   const auto [found, added] = registry.servers.try_emplace(change.name);
   ServerRecord& record = found->second;
   if (!added && change.revision <= record.revision) return;
+  if (!change.server.has_value()) {
+    Remove(record, change.revision, delta, now);
+    return;
+  }
   record.revision = change.revision;
   record.learnt_at = now;
-  record.gone = !change.server.has_value();
-  if (record.gone) return;
+  record.gone = false;
   const Mark former = record.fact.mark;
   record.fact = *change.server;
   if (former != kNoMark && former != record.fact.mark) {
@@ -23,37 +41,39 @@
   }
 }
 
-void MergeRoute(Registry& registry, const RouteChange& change, TimePoint now) {
+void MergeRoute(Registry& registry, const RouteChange& change,
+                const FactDelta& delta, TimePoint now) {
   const auto [found, added] = registry.routes.try_emplace(change.address);
   RouteRecord& record = found->second;
   if (!added && change.revision <= record.revision) return;
-  record.revision = change.revision;
-  record.learnt_at = now;
-  record.gone = !change.route.has_value();
-  if (!record.gone) record.fact = *change.route;
+  if (!change.route.has_value()) {
+    Remove(record, change.revision, delta, now);
+    return;
+  }
+  record = {
+      .fact = *change.route, .revision = change.revision, .learnt_at = now};
 }
 
 // Marks as gone what a whole delta does not name.
 template <typename Records, typename Names>
-void RemoveOthers(Records& records, const Names& names, Revision as_of,
+void RemoveOthers(Records& records, const Names& names, const FactDelta& delta,
                   TimePoint now) {
   for (auto& [key, record] : records) {
-    if (record.gone || record.revision > as_of || names.contains(key)) continue;
-    record.gone = true;
-    record.revision = as_of;
-    record.learnt_at = now;
+    const bool stays =
+        record.gone || record.revision > delta.as_of || names.contains(key);
+    if (!stays) Remove(record, delta.as_of, delta, now);
   }
 }
 
 void RemoveUnnamed(Registry& registry, const FactDelta& delta, TimePoint now) {
   std::set<std::string> servers;
   for (const ServerChange& change : delta.servers) servers.insert(change.name);
-  RemoveOthers(registry.servers, servers, delta.as_of, now);
+  RemoveOthers(registry.servers, servers, delta, now);
   // Without a configuration nothing is known of routes.
   if (!delta.limits.has_value()) return;
   std::set<Endpoint> routes;
   for (const RouteChange& change : delta.routes) routes.insert(change.address);
-  RemoveOthers(registry.routes, routes, delta.as_of, now);
+  RemoveOthers(registry.routes, routes, delta, now);
 }
 
 Revision LastChange(const FactDelta& delta) {
@@ -75,10 +95,10 @@
   if (delta.as_of <= registry.as_of) return MergeResult::kNothingNew;
   if (!delta.whole && delta.after > registry.as_of) return MergeResult::kGap;
   for (const ServerChange& change : delta.servers) {
-    MergeServer(registry, change, now);
+    MergeServer(registry, change, delta, now);
   }
   for (const RouteChange& change : delta.routes) {
-    MergeRoute(registry, change, now);
+    MergeRoute(registry, change, delta, now);
   }
   const bool new_limits = delta.limits.has_value() &&
                           delta.limits->revision > registry.limits.revision;
@@ -99,6 +119,10 @@
                   .as_of = registry.as_of,
                   .whole = after < registry.horizon || after == 0};
   for (const auto& [name, record] : registry.servers) {
+    if (record.gone) {
+      delta.removals_held_until =
+          std::max(delta.removals_held_until, record.held_until);
+    }
     const bool wanted = delta.whole ? !record.gone : record.revision > after;
     if (!wanted) continue;
     delta.servers.push_back({.name = name, .revision = record.revision});
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -17,6 +17,8 @@
   bool gone = false;
   // When this VM learnt of the revision.
   TimePoint learnt_at;
+  // Where it is gone: until then it may come back, see RemovalHold.
+  TimePoint held_until;
 
   auto operator<=>(const ServerRecord&) const = default;
 };
--- a/drivers/fleet.thrift
+++ b/drivers/fleet.thrift
@@ -95,6 +95,7 @@
   5: list<ServerChangeT> servers
   6: list<RouteChangeT> routes
   7: optional LimitsChangeT limits
+  8: optional i64 removals_held_ms
 }
 
 struct FactsRequestT {
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -9,6 +9,8 @@
 namespace knapweedlift {
 namespace {
 
+// Longer than any removal is held.
+constexpr int64_t kMaxHoldMs = 60'000;
 // Longer than any server stays cold.
 constexpr int64_t kMaxColdMs = 3'600'000;
 
@@ -177,6 +179,9 @@
     limits.idle_timeout_ms = delta.limits->limits.idle_timeout.count();
     wire.__set_limits(limits);
   }
+  if (delta.removals_held_until > now) {
+    wire.__set_removals_held_ms((delta.removals_held_until - now).count());
+  }
   return wire;
 }
 
@@ -196,6 +201,11 @@
   for (const gen::RouteChangeT& line : wire.routes) {
     notice.delta.routes.push_back(FromWire(line));
   }
+  if (wire.__isset.removals_held_ms) {
+    notice.delta.removals_held_until =
+        now +
+        Duration(std::clamp<int64_t>(wire.removals_held_ms, 0, kMaxHoldMs));
+  }
   if (wire.__isset.limits) {
     notice.delta.limits = {
         .revision = Narrow<Revision>(wire.limits.revision),
--- a/drivers/gen/fleet_types.cpp
+++ b/drivers/gen/fleet_types.cpp
@@ -2101,6 +2101,11 @@
   this->limits = val;
 __isset.limits = true;
 }
+
+void FactsNoticeT::__set_removals_held_ms(const int64_t val) {
+  this->removals_held_ms = val;
+__isset.removals_held_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const FactsNoticeT& obj)
 {
   obj.printTo(out);
@@ -2209,6 +2214,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->removals_held_ms);
+          this->__isset.removals_held_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2272,6 +2285,11 @@
     xfer += this->limits.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.removals_held_ms) {
+    xfer += oprot->writeFieldBegin("removals_held_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->removals_held_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2286,6 +2304,7 @@
   swap(a.servers, b.servers);
   swap(a.routes, b.routes);
   swap(a.limits, b.limits);
+  swap(a.removals_held_ms, b.removals_held_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2297,6 +2316,7 @@
   servers = other84.servers;
   routes = other84.routes;
   limits = other84.limits;
+  removals_held_ms = other84.removals_held_ms;
   __isset = other84.__isset;
 }
 FactsNoticeT::FactsNoticeT(FactsNoticeT&& other85) noexcept {
@@ -2307,6 +2327,7 @@
   servers = std::move(other85.servers);
   routes = std::move(other85.routes);
   limits = std::move(other85.limits);
+  removals_held_ms = other85.removals_held_ms;
   __isset = other85.__isset;
 }
 FactsNoticeT& FactsNoticeT::operator=(const FactsNoticeT& other86) {
@@ -2317,6 +2338,7 @@
   servers = other86.servers;
   routes = other86.routes;
   limits = other86.limits;
+  removals_held_ms = other86.removals_held_ms;
   __isset = other86.__isset;
   return *this;
 }
@@ -2328,6 +2350,7 @@
   servers = std::move(other87.servers);
   routes = std::move(other87.routes);
   limits = std::move(other87.limits);
+  removals_held_ms = other87.removals_held_ms;
   __isset = other87.__isset;
   return *this;
 }
@@ -2341,6 +2364,7 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "removals_held_ms="; (__isset.removals_held_ms ? (out << to_string(removals_held_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/drivers/gen/fleet_types.h
+++ b/drivers/gen/fleet_types.h
@@ -841,7 +841,7 @@
 std::ostream& operator<<(std::ostream& out, const LimitsChangeT& obj);
 
 typedef struct _FactsNoticeT__isset {
-  _FactsNoticeT__isset() : root(false), after(false), as_of(false), whole(false), servers(false), routes(false), limits(false) {}
+  _FactsNoticeT__isset() : root(false), after(false), as_of(false), whole(false), servers(false), routes(false), limits(false), removals_held_ms(false) {}
   bool root :1;
   bool after :1;
   bool as_of :1;
@@ -849,6 +849,7 @@
   bool servers :1;
   bool routes :1;
   bool limits :1;
+  bool removals_held_ms :1;
 } _FactsNoticeT__isset;
 
 class FactsNoticeT : public virtual ::apache::thrift::TBase {
@@ -862,7 +863,8 @@
                : root(0),
                  after(0),
                  as_of(0),
-                 whole(0) {
+                 whole(0),
+                 removals_held_ms(0) {
   }
 
   virtual ~FactsNoticeT() noexcept;
@@ -873,6 +875,7 @@
   std::vector<ServerChangeT>  servers;
   std::vector<RouteChangeT>  routes;
   LimitsChangeT limits;
+  int64_t removals_held_ms;
 
   _FactsNoticeT__isset __isset;
 
@@ -890,6 +893,8 @@
 
   void __set_limits(const LimitsChangeT& val);
 
+  void __set_removals_held_ms(const int64_t val);
+
   bool operator == (const FactsNoticeT & rhs) const
   {
     if (!(root == rhs.root))
@@ -910,6 +915,10 @@
       return false;
     else if (__isset.limits && !(limits == rhs.limits))
       return false;
+    if (__isset.removals_held_ms != rhs.__isset.removals_held_ms)
+      return false;
+    else if (__isset.removals_held_ms && !(removals_held_ms == rhs.removals_held_ms))
+      return false;
     return true;
   }
   bool operator != (const FactsNoticeT &rhs) const {
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -236,15 +236,17 @@
   return settings;
 }
 
-AddressReuse ReadReuse(Reader& reader) {
-  AddressReuse reuse;
-  reuse.earliest = reader.Seconds("platform.address_reuse_s", kMaxReuseSeconds,
-                                  reuse.earliest);
+// What follows from how servers keep their entries alive.
+void ReadEntries(Reader& reader, MarkDaemonSettings& settings) {
+  settings.reuse.earliest = reader.Seconds(
+      "platform.address_reuse_s", kMaxReuseSeconds, settings.reuse.earliest);
   const int64_t heartbeat = reader.Integer(
       "platform.server_heartbeat_ms", 1, kMaxHeartbeatMs, kDefaultHeartbeatMs);
-  reuse.latest_listing =
+  settings.reuse.latest_listing =
       Duration(kSilentHeartbeats * heartbeat) + kListingDelay;
-  return reuse;
+  // The last heartbeat before an outage is one old at most.
+  settings.entry_times.shortest_outage =
+      Duration((kSilentHeartbeats - 1) * heartbeat);
 }
 
 MarkDaemonSettings ReadMarkSettings(Reader& reader) {
@@ -271,7 +273,7 @@
                                         settings.drain_timeout + kExitTime);
   settings.drain_timeout = std::min(settings.drain_timeout,
                                     std::max(Duration(0), grace - kExitTime));
-  settings.reuse = ReadReuse(reader);
+  ReadEntries(reader, settings);
   return settings;
 }
 
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -97,7 +97,8 @@
 bool HealthMonitor::MayReturn(Mark mark) const {
   const MarkViewPtr view = view_.view();
   const ServerIndex index = ServerOfMark(*view, mark);
-  return index < view->servers.size() && !view->servers[index].gone;
+  if (index >= view->servers.size()) return false;
+  return !view->servers[index].gone || view->servers[index].held;
 }
 
 void HealthMonitor::StartCheck(Mark mark, Duration delay) {
@@ -156,9 +157,10 @@
   const bool fresh = FactsAreFresh(link_.state(), now);
   // Whoever answers at the address of a replaced server is not that server.
   if (server.replaced) outcome = CheckOutcome::kRefused;
+  const bool may_be_there = !server.gone || server.held;
   const CheckedServer checked{
       .may_be_leaving = !server.replaced &&
-                        (!fresh || (server.fact.draining && !server.gone)),
+                        (!fresh || (server.fact.draining && may_be_there)),
       .listed = fresh && !server.gone};
   const bool was_suspect = IsSuspect(table_, mark, now);
   const bool could_end = MayEndFlows(table_, mark);
--- a/servers/marks/health_monitor.h
+++ b/servers/marks/health_monitor.h
@@ -45,7 +45,7 @@
 
  private:
   void LookForSilence(TimePoint now);
-  // False for a server that the platform no longer lists.
+  // False for a server that is gone for good.
   bool MayReturn(Mark mark) const;
   void StartCheck(Mark mark, Duration delay);
   CheckOutcome Check(Mark mark, const Endpoint& endpoint);
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -50,7 +50,8 @@
       read_settings_(std::move(read_settings)),
       link_(reactor_, registry_),
       source_(make_source(reactor_, settings.platform)),
-      watch_(*source_, link_, registry_, [this] { RequestView(); }),
+      watch_(*source_, link_, registry_, settings.entry_times,
+             [this] { RequestView(); }),
       flows_(kFlowShards, settings.max_flows),
       log_(settings.log_lines_per_second),
       forwarder_({.data = settings.data,
@@ -126,6 +127,7 @@
     RenewLoads(now);
     link_.Tick(now);
     view_.SetConfirmedAt(link_.state().confirmed_at);
+    if (now >= view_valid_until_) PublishView();
     if (watch_.IsDue(now)) fiber([this] { watch_.Run(); }).detach();
     if (now >= next_expire_at_) ExpireFlows(now);
     boost::this_fiber::sleep_for(kTickPeriod);
@@ -167,8 +169,10 @@
   if (registry_.as_of == 0) return;
   view_made_at_ = Now();
   view_.SetConfirmedAt(link_.state().confirmed_at);
-  view_.Set(std::make_shared<const MarkView>(MakeMarkView(
-      registry_, health_.table(), settings_.domain, Now(), memory_)));
+  const auto view = std::make_shared<const MarkView>(MakeMarkView(
+      registry_, health_.table(), settings_.domain, Now(), memory_));
+  view_valid_until_ = view->valid_until;
+  view_.Set(view);
   if (fact_learnt_at_ != TimePoint::max()) {
     fact_to_force_ms_.Add(
         static_cast<double>((Now() - fact_learnt_at_).count()));
--- a/servers/marks/mark_daemon.h
+++ b/servers/marks/mark_daemon.h
@@ -39,6 +39,8 @@
   size_t log_lines_per_second = 0;
   // How backend servers' addresses change hands.
   AddressReuse reuse;
+  // How their entries expire.
+  EntryTimes entry_times;
   // How long a stopping daemon forwards at most.
   Duration drain_timeout{0};
 
@@ -118,6 +120,7 @@
   HealthMonitor health_;
 
   TimePoint view_made_at_;
+  TimePoint view_valid_until_ = TimePoint::max();
   bool view_requested_ = false;
   // When the first fact came that no view holds yet; never where there is none.
   TimePoint fact_learnt_at_ = TimePoint::max();
--- a/servers/marks/platform_watch.cc
+++ b/servers/marks/platform_watch.cc
@@ -47,11 +47,13 @@
 }  // namespace
 
 PlatformWatch::PlatformWatch(FactSource& source, FleetLink& link,
-                             Registry& registry, ChangeTaker take_change)
+                             Registry& registry, const EntryTimes& times,
+                             ChangeTaker take_change)
     : source_(source),
       link_(link),
       registry_(registry),
-      take_change_(std::move(take_change)) {}
+      take_change_(std::move(take_change)),
+      hold_{.times = times} {}
 
 bool PlatformWatch::IsDue(TimePoint now) const {
   if (running_ || registry_.as_of == 0) return false;
@@ -107,15 +109,17 @@
 
 void PlatformWatch::TakeNews(const SourceNews& news) {
   LogFaults(news.faults);
+  const TimePoint now = Now();
+  NotePlatformAnswer(hold_, link_.state().confirmed_at, now);
   FactDelta delta{.after = news.after,
                   .as_of = news.as_of,
                   .whole = news.whole,
                   .servers = news.servers};
+  if (now < hold_.until) delta.removals_held_until = hold_.until;
   if (news.config.has_value()) {
     AddConfigChanges(registry_, news.config->config, news.config->revision,
                      delta);
   }
-  const TimePoint now = Now();
   const Revision before = registry_.as_of;
   const Revision changed_before = registry_.last_change;
   if (MergeDelta(registry_, delta, now) != MergeResult::kMerged) return;
--- a/servers/marks/platform_watch.h
+++ b/servers/marks/platform_watch.h
@@ -6,6 +6,7 @@
 
 #include "core/registry/fact_source.h"
 #include "core/registry/registry.h"
+#include "core/registry/removal_hold.h"
 #include "servers/histogram.h"
 #include "servers/marks/fleet_link.h"
 
@@ -20,7 +21,7 @@
 
   // The references must outlive the watch.
   PlatformWatch(FactSource& source, FleetLink& link, Registry& registry,
-                ChangeTaker take_change);
+                const EntryTimes& times, ChangeTaker take_change);
 
   // Follows the platform in the calling fiber while this VM must, or until
   // Stop.
@@ -49,6 +50,7 @@
   FleetLink& link_;
   Registry& registry_;
   ChangeTaker take_change_;
+  RemovalHold hold_;
   bool running_ = false;
   bool stopping_ = false;
   Duration backoff_{0};
--- a/tests/core/registry_test.cc
+++ b/tests/core/registry_test.cc
@@ -208,3 +208,17 @@
   cr_expect(FactsAge(At(100), At(350)) == Duration(250));
   cr_expect(FactsAge(TimePoint{}, At(350)) == kNeverConfirmed);
 }
+
+Test(registry, a_hold_of_removals_travels_with_the_delta) {
+  Registry watcher = RegistryOf({Server(1), Server(2)});
+  FactDelta delta{.after = 10, .as_of = 11, .removals_held_until = At(2'500)};
+  delta.servers.push_back({.name = Server(1).name, .revision = 11});
+  MergeDelta(watcher, delta, At(0));
+  for (const Revision after : {Revision{10}, Revision{0}}) {
+    Registry peer = RegistryOf({Server(1), Server(2)});
+    MergeDelta(peer, DeltaSince(watcher, after), At(0));
+    cr_expect(peer.servers.at(Server(1).name).gone);
+    cr_expect(peer.servers.at(Server(1).name).held_until == At(2'500));
+    cr_expect(not peer.servers.at(Server(2).name).gone);
+  }
+}
--- a/tests/drivers/fleet_codec_test.cc
+++ b/tests/drivers/fleet_codec_test.cc
@@ -90,11 +90,13 @@
 Test(fleet_codec, a_deadline_travels_as_what_is_left_of_it) {
   FactsNotice notice{.delta = WholeFacts({Server(1)})};
   notice.delta.servers[0].server->cold_until = At(kNow + 700);
+  notice.delta.removals_held_until = At(kNow + 900);
   const std::string bytes = EncodeFleetMessage({.message = notice}, At(kNow));
   // The receiver's clock shows another time.
   const auto read = DecodeFleetMessage(bytes, At(90'000));
   const auto& facts = std::get<FactsNotice>(read->message);
   cr_expect(facts.delta.servers[0].server->cold_until == At(90'700));
+  cr_expect(facts.delta.removals_held_until == At(90'900));
 }
 
 Test(fleet_codec, survives_any_bytes) {
--- a/tests/lab/marks/deployment.h
+++ b/tests/lab/marks/deployment.h
@@ -29,6 +29,9 @@
 
 inline constexpr Duration kPatience{20'000};
 
+// A store that does not answer for longer may have let entries expire.
+inline constexpr Duration kShortestOutage{1'000};
+
 // Flow decisions that a daemon logs in a second.
 inline constexpr size_t kLogLines = 100;
 
@@ -57,6 +60,8 @@
         .hash_key = 7,
         .max_flows = 10'000,
         .log_lines_per_second = kLogLines,
+        .entry_times = {.shortest_outage = kShortestOutage,
+                        .return_time = kPatience},
         .drain_timeout = Duration(3'000)};
     daemon_ = std::make_unique<MarkDaemon>(
         settings, *codec_, platform::MakeFactSource,
--- a/tests/lab/marks/world_test.cc
+++ b/tests/lab/marks/world_test.cc
@@ -85,6 +85,29 @@
   deployment.Finish();
 }
 
+// Found on the bench: entries expire while the store is down and come back one
+// by one; until then all new flows went to the first one, or were refused.
+Test(marks_world, servers_whose_entries_expired_in_an_outage_are_used_on,
+     .timeout = 120) {
+  Deployment deployment;
+  deployment.StartCallers();
+  deployment.world.store().SetMode(0, StoreMode::kBusy);
+  deployment.world.Run(2 * kShortestOutage);
+  for (const std::string& server : deployment.servers) {
+    deployment.world.Unlist(server);
+  }
+  const uint64_t revision = deployment.world.store().revision();
+  deployment.world.store().SetMode(0, StoreMode::kServe);
+  cr_assert(deployment.world.RunUntil(
+      [&] { return deployment.AllSay("revision", revision); }, kPatience));
+  const uint64_t before = deployment.world.Sum().answers;
+  cr_assert(deployment.world.RunUntil(
+      [&] { return deployment.world.Sum().answers > before + 200; },
+      kPatience));
+  cr_expect(deployment.world.Sum().refused == 0);
+  deployment.Finish();
+}
+
 Test(marks_world, a_vm_that_the_store_refuses_follows_the_others,
      .timeout = 120) {
   for (const StoreMode mode : {StoreMode::kBusy, StoreMode::kMany,
