Log each change of facts and bound the lines of every event

facts_changed names servers that are ready, leaving, gone or held, and counts routes. Lines of one event beyond log.event_lines_per_second (20) are left out, counted, reported as lines_left_out and shown in the metrics.

A test failed once beside a build: daemon/its_ports_are_free_after_each_stop opened a port again that the kernel had given to another test in between. It uses an address of its own now.

--- a/drivers/log.cc
+++ b/drivers/log.cc
@@ -6,7 +6,10 @@
 #include <mutex>
 #include <utility>
 
+#include "absl/base/const_init.h"
+#include "absl/synchronization/mutex.h"
 #include "drivers/clock.h"
+#include "drivers/line_limiter.h"
 
 // The library is set up by the first line, so that a start need not wait for
 // it.
@@ -15,6 +18,17 @@
 namespace knapweedlift {
 namespace {
 
+constexpr uint64_t kDefaultLinesPerSecond = 20;
+
+ABSL_CONST_INIT absl::Mutex limiter_mutex(absl::kConstInit);
+LineLimiter limiter ABSL_GUARDED_BY(limiter_mutex){
+    .lines_per_second = kDefaultLinesPerSecond};
+
+bool MayLog(const std::string& event) {
+  absl::MutexLock lock(&limiter_mutex);
+  return AdmitLine(limiter, event, Now());
+}
+
 std::string Line(const char* level, const std::string& event,
                  nlohmann::json fields) {
   if (!fields.is_object()) fields = nlohmann::json::object();
@@ -44,18 +58,34 @@
 }  // namespace
 
 void LogInfo(const std::string& event, nlohmann::json fields) {
+  if (MayLog(event)) LogUnlimited(event, std::move(fields));
+}
+
+void LogUnlimited(const std::string& event, nlohmann::json fields) {
   PrepareLibrary();
   LOG(INFO) << Line("info", event, std::move(fields));
 }
 
 void LogWarning(const std::string& event, nlohmann::json fields) {
+  if (!MayLog(event)) return;
   PrepareLibrary();
   LOG(WARNING) << Line("warning", event, std::move(fields));
 }
 
 void LogError(const std::string& event, nlohmann::json fields) {
+  if (!MayLog(event)) return;
   PrepareLibrary();
   LOG(ERROR) << Line("error", event, std::move(fields));
 }
 
+void SetLogLimit(uint64_t lines_per_second) {
+  absl::MutexLock lock(&limiter_mutex);
+  limiter.lines_per_second = lines_per_second;
+}
+
+std::map<std::string, uint64_t> TakeLinesLeftOut() {
+  absl::MutexLock lock(&limiter_mutex);
+  return TakeLeftOut(limiter);
+}
+
 }  // namespace knapweedlift
--- a/main/settings.cc
+++ b/main/settings.cc
@@ -266,6 +266,8 @@
       reader.Integer("limits.flows", kMinFlows, kMaxFlows, kDefaultFlows));
   settings.log_lines_per_second = static_cast<size_t>(reader.Integer(
       "log.flow_lines_per_second", 0, kMaxLogLines, kDefaultLogLines));
+  settings.event_lines_per_second = static_cast<size_t>(reader.Integer(
+      "log.event_lines_per_second", 1, kMaxLogLines, kDefaultLogLines));
   settings.drain_timeout = Duration(
       reader.Integer("shutdown.drain_timeout_ms", 0, kMaxDrainSeconds * 1'000,
                      kDefaultDrainSeconds * 1'000));
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -182,11 +182,9 @@
       {"knapweedlift_bad_peer_messages_total", "",
        number(parts.link.bad_messages())},
   };
-  for (const auto& [reason, count] : parts.lines_left_out) {
-    gauges.push_back(
-        {"knapweedlift_log_lines_left_out_total",
-         absl::StrCat("reason=\"", std::string(ResultCodeName(reason)), "\""),
-         number(count)});
+  for (const auto& [kind, count] : parts.lines_left_out) {
+    gauges.push_back({"knapweedlift_log_lines_left_out_total",
+                      absl::StrCat("kind=\"", kind, "\""), number(count)});
   }
   AddServerGauges(parts, gauges);
   const auto labels = [&parts](ServiceNumber service) {
--- a/servers/marks/mark_admin.h
+++ b/servers/marks/mark_admin.h
@@ -21,7 +21,7 @@
   const HealthMonitor& health;
   const MarkForwarder& forwarder;
   const ViewMemory& memory;
-  const std::map<ResultCode, uint64_t>& lines_left_out;
+  const std::map<std::string, uint64_t>& lines_left_out;
   // From when a change is known here until the packet path has it.
   const LogHistogram& fact_to_force_ms;
   SharedMarkView& view;
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -7,6 +7,7 @@
 
 #include "drivers/clock.h"
 #include "drivers/log.h"
+#include "servers/marks/facts_report.h"
 #include "servers/marks/mark_admin.h"
 
 namespace knapweedlift {
@@ -62,6 +63,7 @@
               [this] { PublishView(); }) {}
 
 absl::Status MarkDaemon::Open() {
+  SetLogLimit(settings_.event_lines_per_second);
   absl::Status status = link_.Open(settings_.deployment, settings_.control,
                                    settings_.domain, settings_.seeds);
   if (!status.ok()) return status;
@@ -172,11 +174,13 @@
   const auto view = std::make_shared<const MarkView>(MakeMarkView(
       registry_, health_.table(), settings_.domain, Now(), memory_));
   view_valid_until_ = view->valid_until;
+  const MarkViewPtr before = view_.view();
   view_.Set(view);
   if (fact_learnt_at_ != TimePoint::max()) {
     fact_to_force_ms_.Add(
         static_cast<double>((Now() - fact_learnt_at_).count()));
     fact_learnt_at_ = TimePoint::max();
+    LogInfo("facts_changed", DescribeFactsChange(before.get(), *view));
   }
   if (!serving_) StartServing();
 }
@@ -248,22 +252,30 @@
   const TimePoint now = Now();
   const DecisionLog::Batch batch = log_.Take();
   for (const FlowDecision& decision : batch.decisions) {
-    LogInfo("flow_decision",
-            {{"reason", std::string(ResultCodeName(decision.reason))},
-             {"code", static_cast<int>(decision.reason)},
-             {"flow", FlowText(decision.flow)},
-             {"request", decision.request},
-             {"server", ServerText(*view, decision.mark)},
-             {"revision", decision.revision},
-             {"facts_age_ms", decision.facts_age.count()},
-             {"decided_ms_ago", (now - decision.decided_at).count()}});
+    LogUnlimited("flow_decision",
+                 {{"reason", std::string(ResultCodeName(decision.reason))},
+                  {"code", static_cast<int>(decision.reason)},
+                  {"flow", FlowText(decision.flow)},
+                  {"request", decision.request},
+                  {"server", ServerText(*view, decision.mark)},
+                  {"revision", decision.revision},
+                  {"facts_age_ms", decision.facts_age.count()},
+                  {"decided_ms_ago", (now - decision.decided_at).count()}});
   }
   for (const auto& [reason, count] : batch.left_out) {
-    lines_left_out_[reason] += count;
-    LogInfo(
-        "flow_decisions_left_out",
-        {{"reason", std::string(ResultCodeName(reason))}, {"count", count}});
+    ReportLinesLeftOut("flow_decision", std::string(ResultCodeName(reason)),
+                       count);
   }
+  for (const auto& [event, count] : TakeLinesLeftOut()) {
+    ReportLinesLeftOut(event.c_str(), event, count);
+  }
+}
+
+void MarkDaemon::ReportLinesLeftOut(const char* event, const std::string& kind,
+                                    uint64_t count) {
+  lines_left_out_[kind] += count;
+  LogUnlimited("lines_left_out",
+               {{"of", event}, {"kind", kind}, {"count", count}});
 }
 
 HttpAnswer MarkDaemon::AnswerReady() const {
--- a/servers/marks/mark_daemon.h
+++ b/servers/marks/mark_daemon.h
@@ -36,7 +36,9 @@
   uint64_t hash_key = 0;
   size_t workers = 1;
   size_t max_flows = 0;
+  // Lines about flows, and of each other event.
   size_t log_lines_per_second = 0;
+  size_t event_lines_per_second = 0;
   // How backend servers' addresses change hands.
   AddressReuse reuse;
   // How their entries expire.
@@ -97,6 +99,8 @@
   void CheckStop(TimePoint now);
   void CheckReload();
   void WriteDecisions();
+  void ReportLinesLeftOut(const char* event, const std::string& kind,
+                          uint64_t count);
   HttpAnswer AnswerReady() const;
 
   MarkDaemonSettings settings_;
@@ -115,7 +119,8 @@
   LoadEstimate load_estimate_;
   MarkedFlowTable flows_;
   DecisionLog log_;
-  std::map<ResultCode, uint64_t> lines_left_out_;
+  // By reason of a flow's decision, or by event.
+  std::map<std::string, uint64_t> lines_left_out_;
   MarkForwarder forwarder_;
   HealthMonitor health_;
 
--- a/tests/servers/tables/daemon_test.cc
+++ b/tests/servers/tables/daemon_test.cc
@@ -217,11 +217,13 @@
   daemon.Join();
 }
 
+// On an address of its own: elsewhere the kernel may give the ports to another
+// test between a stop and the next start.
 Test(daemon, its_ports_are_free_after_each_stop) {
   FakePlatform platform;
   platform.Say(SheetJson(1, 1).dump());
-  Endpoint admin = Loopback();
-  Endpoint data = Loopback();
+  Endpoint admin{.address = *ParseIpAddress("127.77.0.1")};
+  Endpoint data = admin;
   for (int i = 0; i < 3; ++i) {
     RunningDaemon daemon(platform.endpoint(), Duration(1'000), Duration(100),
                          admin, data);
