Measure how long packets wait behind others of their batch

Cause: metrics had a histogram of the decision, of store calls, of the age of facts and of the time to force, but none of the packet queue.

One batch in 64 is timed: from its reception to the decision of each of its packets, by service. What the kernel queued before is not seen; receive timestamps would cost every packet, and the time of day, which they use, may jump.

--- a/servers/marks/mark_forwarder.cc
+++ b/servers/marks/mark_forwarder.cc
@@ -9,7 +9,7 @@
 namespace knapweedlift {
 namespace {
 
-// Decisions are timed once in this many packets.
+// One in so many packets is timed, and all of one in so many batches.
 constexpr uint64_t kTimingPeriod = 64;
 
 void AddForward(const MarkedPacketCodec& codec, const ServerTarget& server,
@@ -45,6 +45,8 @@
 
   void BeginBatch(TimePoint now) override {
     now_ = now;
+    batch_timed_ = ++batches_ % kTimingPeriod == 0;
+    if (batch_timed_) batch_received_ns_ = NowNanoseconds();
     if (view_ == nullptr) view_ = parts_.view.WaitForFirst();
     if (parts_.view.version() == version_) return;
     version_ = parts_.view.version();
@@ -57,11 +59,11 @@
       metrics_.Count(ResultCode::kBadMarkedPacket);
       return true;
     }
-    const bool timed = ++packets_ % kTimingPeriod == 0;
+    const bool timed = batch_timed_ || ++packets_ % kTimingPeriod == 0;
     const int64_t start = timed ? NowNanoseconds() : 0;
     const MarkDecision decision = Decide(*packet, datagram);
     metrics_.Count(decision.reason);
-    if (timed) RecordTiming(decision, datagram, NowNanoseconds() - start);
+    if (timed) RecordTiming(decision, datagram, start);
     if (decision.verdict == MarkVerdict::kForward) {
       AddForward(parts_.codec, view_->servers[decision.server], datagram,
                  batch);
@@ -133,13 +135,18 @@
   }
 
   void RecordTiming(const MarkDecision& decision,
-                    std::span<const uint8_t> datagram, int64_t nanoseconds) {
+                    std::span<const uint8_t> datagram, int64_t start) {
     if (decision.verdict != MarkVerdict::kForward) return;
+    const int64_t decided_in = NowNanoseconds() - start;
     const auto size = static_cast<double>(datagram.size());
     metrics_.WithService(
         view_->servers[decision.server].service_number,
         [&](ServiceHistograms& histograms) {
-          histograms.decision_ns.Add(static_cast<double>(nanoseconds));
+          histograms.decision_ns.Add(static_cast<double>(decided_in));
+          if (batch_timed_) {
+            histograms.packet_queue_ns.Add(
+                static_cast<double>(start - batch_received_ns_));
+          }
           histograms.packet_bytes.Add(size);
         });
   }
@@ -165,6 +172,9 @@
   MarkViewPtr view_;
   uint64_t version_ = 0;
   uint64_t packets_ = 0;
+  uint64_t batches_ = 0;
+  bool batch_timed_ = false;
+  int64_t batch_received_ns_ = 0;
   TimePoint now_;
 };
 
--- a/servers/metrics.cc
+++ b/servers/metrics.cc
@@ -21,6 +21,7 @@
 
 void ServiceHistograms::Merge(const ServiceHistograms& other) {
   decision_ns.Merge(other.decision_ns);
+  packet_queue_ns.Merge(other.packet_queue_ns);
   packet_bytes.Merge(other.packet_bytes);
   flow_age_s.Merge(other.flow_age_s);
   new_flows_per_second.Merge(other.new_flows_per_second);
@@ -60,6 +61,8 @@
     const std::string labels = labels_of(number);
     histograms.decision_ns.AppendPrometheus("knapweedlift_decision_nanoseconds",
                                             labels, out);
+    histograms.packet_queue_ns.AppendPrometheus(
+        "knapweedlift_packet_queue_nanoseconds", labels, out);
     histograms.packet_bytes.AppendPrometheus("knapweedlift_packet_bytes",
                                              labels, out);
     histograms.flow_age_s.AppendPrometheus("knapweedlift_flow_age_seconds",
--- a/servers/metrics.h
+++ b/servers/metrics.h
@@ -21,6 +21,9 @@
 // Histograms of one service.
 struct ServiceHistograms {
   LogHistogram decision_ns{{.min = 16, .max = 1 << 20, .bins = 32}};
+  // From the reception of a batch of packets to the decision of one of them.
+  // The kernel's queue before that is not seen.
+  LogHistogram packet_queue_ns{{.min = 16, .max = 1 << 28, .bins = 32}};
   LogHistogram packet_bytes{{.min = 32, .max = 9216, .bins = 24}};
   LogHistogram flow_age_s{{.min = 0.1, .max = 1e6, .bins = 28}};
   LogHistogram new_flows_per_second{{.min = 1, .max = 1e6, .bins = 24}};
--- a/tests/lab/marks/world_test.cc
+++ b/tests/lab/marks/world_test.cc
@@ -276,3 +276,19 @@
   const json bad = json::parse(deployment.vms[0]->Ask("/v1/explain?from=x"));
   cr_expect(bad.contains("error"));
 }
+
+Test(marks_world, packets_waits_in_their_batches_are_measured, .timeout = 120) {
+  Deployment deployment(1);
+  deployment.StartCallers();
+  const std::string name =
+      "knapweedlift_packet_queue_nanoseconds_count{service=\"atelier\"} ";
+  const auto count = [&]() -> double {
+    const std::string metrics = deployment.vms[0]->Ask("/metrics");
+    const size_t at = metrics.find(name);
+    return at == std::string::npos
+               ? 0
+               : std::stod(metrics.substr(at + name.size()));
+  };
+  cr_expect(deployment.world.RunUntil([&] { return count() > 0; }, kPatience));
+  deployment.Finish();
+}
