Tell changes of facts from changes of health

Cause: since another VM's word asks for a view through the same call as changed facts, a suspicion wrote a facts_changed line without content and counted as a fact's time to force.

status names held and replaced servers.

--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 const char* StateOf(const ServerTarget& server) {
+  if (server.replaced) return "replaced";
+  if (server.held) return "held";
   if (server.gone) return "gone";
   if (server.ended) return "silent";
   if (server.suspect) return "suspect";
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -52,7 +52,7 @@
       link_(reactor_, registry_),
       source_(make_source(reactor_, settings.platform)),
       watch_(*source_, link_, registry_, settings.entry_times,
-             [this] { RequestView(); }),
+             [this] { TakeChangedFacts(); }),
       flows_(kFlowShards, settings.max_flows),
       log_(settings.log_lines_per_second),
       forwarder_({.data = settings.data,
@@ -151,12 +151,16 @@
 }
 
 void MarkDaemon::TakeFleetNews(const FleetNews& news) {
-  if (news.facts_changed) RequestView();
+  if (news.facts_changed) TakeChangedFacts();
   health_.TakeSuspicions(news.suspects, Now());
 }
 
-void MarkDaemon::RequestView() {
+void MarkDaemon::TakeChangedFacts() {
   fact_learnt_at_ = std::min(fact_learnt_at_, Now());
+  RequestView();
+}
+
+void MarkDaemon::RequestView() {
   const Duration age = Now() - view_made_at_;
   if (age >= kViewPause) {
     PublishView();
--- a/servers/marks/mark_daemon.h
+++ b/servers/marks/mark_daemon.h
@@ -90,6 +90,7 @@
   bool HasDetachedFibers() const;
 
   void TakeFleetNews(const FleetNews& news);
+  void TakeChangedFacts();
   // Publishes soon; changes that follow each other closely share a view.
   void RequestView();
   void PublishView();
--- a/tests/lab/marks/world_test.cc
+++ b/tests/lab/marks/world_test.cc
@@ -140,7 +140,14 @@
     return vm.Status()["control_received_bytes"].get<uint64_t>();
   };
   const auto views = [&] { return vm.Status()["views_made"].get<uint64_t>(); };
+  const auto facts_line = [&] {
+    const std::string metrics = vm.Ask("/metrics");
+    const size_t at =
+        metrics.find("knapweedlift_fact_to_force_milliseconds_count");
+    return metrics.substr(at, metrics.find('\n', at) - at);
+  };
   const uint64_t before = views();
+  const std::string facts_before = facts_line();
   constexpr size_t kNotices = 200;
   const uint64_t received_before = received();
   for (size_t i = 0; i < kNotices; ++i) {
@@ -150,6 +157,8 @@
       [&] { return received() > received_before + kNotices; }, kPatience));
   // It becomes a suspect, and may stop being one before the last notice.
   cr_expect(views() <= before + kNotices / 20, "%lu views", views() - before);
+  cr_expect(views() > before, "it is a suspect now");
+  cr_expect(facts_line() == facts_before, "which is no fact of the platform");
 }
 
 // Found in inc-1008: a VM that was restarted beyond a cut refused every flow.
