--- a/misc/scripts/fuzz.sh
+++ b/misc/scripts/fuzz.sh
@@ -15,10 +15,13 @@
 for fuzzer in packet answers fleet settings; do
   found="$directory/corpus-$fuzzer"
   mkdir -p "$found"
-  # What the fuzzer learns goes into the first directory.
+  # What the fuzzer learns goes into the first directory. Fleet messages have
+  # no corpus: the fuzzer makes its own.
+  corpora=("$found")
+  [ ! -d "tests/fuzz/corpus/$fuzzer" ] || corpora+=("tests/fuzz/corpus/$fuzzer")
   if "$directory/tests/fuzz/${fuzzer}_fuzz" -max_total_time="$seconds" -seed=1 \
     -artifact_prefix="$directory/$fuzzer-" -print_final_stats=1 \
-    "$found" "tests/fuzz/corpus/$fuzzer" >"$directory/$fuzzer.log" 2>&1; then
+    "${corpora[@]}" >"$directory/$fuzzer.log" 2>&1; then
     runs=$(sed -n 's/^stat::number_of_executed_units: *//p' "$directory/$fuzzer.log")
     echo "$fuzzer: no fault in $runs runs"
   else
