Continue an interrupted read of the store after its last page

Cause: a complete read that failed on one page (429, or a page that took longer than 1 s) started again from the first page. Change: StoreClient keeps the pages read for 10 s, and the next ReadAll continues after the last one; as_of stays the lowest of all pages, so that the watch replays what changed in between. The time-out of a page doubles after each failure, from 1 to 8 s. Tests, which fail without the change: a_read_that_was_refused_continues_after_its_last_page, a_page_that_took_too_long_gets_more_time.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -80,6 +80,49 @@
   cr_expect(store.targets()[1].find("after=k1") != std::string::npos);
 }
 
+// The load: many VMs read a large store at the same time, and it refuses some
+// pages.
+Test(store_client, a_read_that_was_refused_continues_after_its_last_page) {
+  std::atomic<bool> refused{false};
+  FakeStore store([&refused](const std::string& target) {
+    constexpr unsigned kTooManyRequests = 429;
+    const bool first = target.find("after=") == std::string::npos;
+    if (!first && !refused.exchange(true)) {
+      return HttpResponse{.status = kTooManyRequests};
+    }
+    return HttpResponse{
+        .body = first ? R"({"items": [{"key": "servers/i-1", "value": "",
+                                       "rev": 1}],
+                            "hasMore": true, "asOf": 5})"
+                      : R"({"items": [{"key": "servers/i-2", "value": "",
+                                       "rev": 7}],
+                            "hasMore": false, "asOf": 8})"};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  cr_assert(!client.ReadAll(Now()).ok());
+  const auto update = client.ReadAll(Now());
+  cr_assert(update.ok());
+  cr_expect(update->servers.size() == 2);
+  cr_expect(update->as_of == 5);
+  cr_expect(store.targets().size() == 3, "no page is read twice");
+  // A later read starts anew.
+  cr_assert(client.ReadAll(Now()).ok());
+  cr_expect(store.targets().size() == 5);
+}
+
+Test(store_client, a_page_that_took_too_long_gets_more_time) {
+  FakeStore store([](const std::string& /*target*/) {
+    boost::this_fiber::sleep_for(kMinPageTimeout + Duration(200));
+    return HttpResponse{.body =
+                            R"({"items": [], "hasMore": false, "asOf": 8})"};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  cr_expect(!client.ReadAll(Now()).ok());
+  cr_expect(client.ReadAll(Now()).ok());
+}
+
 Test(store_client, continues_after_a_key_with_special_characters) {
   FakeStore store([](const std::string& target) {
     const bool first = target.find("after=") == std::string::npos;
