--- /dev/null
+++ b/core/fleet/catch_up.cc
@@ -0,0 +1,55 @@
+#include "core/fleet/catch_up.h"
+
+#include <algorithm>
+
+namespace knapweedlift {
+namespace {
+
+// Records that a peer has changes that it can send only as a snapshot. The
+// snapshot is requested only if the platform does not provide the changes
+// within kSnapshotRequestDelay.
+void RecordLag(FleetState& state, const Endpoint& peer, TimePoint now) {
+  state.lagging_since = std::min(state.lagging_since, now);
+  state.catch_up_peer = peer;
+}
+
+}  // namespace
+
+void RequestFacts(FleetState& state, const Registry& registry,
+                  const Endpoint& from, TimePoint now, FleetOutbox& out) {
+  if (now < state.next_facts_request_at) return;
+  state.next_facts_request_at = now + kFactsRequestInterval;
+  out.push_back({{from}, FactsRequest{.after = registry.as_of}});
+}
+
+void SendDueSnapshotRequest(FleetState& state, const Registry& registry,
+                            TimePoint now, FleetOutbox& out) {
+  if (state.lagging_since == TimePoint::max()) return;
+  const bool first = registry.as_of == 0;
+  if (first && now < state.first_facts.platform_read_at) return;
+  const TimePoint due_at =
+      first ? state.first_facts.platform_read_at + kFirstSnapshotRequestDelay
+            : state.lagging_since + kSnapshotRequestDelay;
+  if (now < due_at || now < state.next_facts_request_at) return;
+  state.next_facts_request_at = now + kSnapshotRequestInterval;
+  out.push_back({{state.catch_up_peer}, FactsRequest{.after = registry.as_of}});
+}
+
+void CatchUpWith(FleetState& state, Registry& registry,
+                 const FactsVersion& version, const Endpoint& from,
+                 TimePoint now, FleetOutbox& out) {
+  if (version.as_of <= registry.as_of) return;
+  const bool changed = registry.as_of < version.last_change;
+  if (registry.as_of == 0 || (changed && registry.as_of < version.horizon)) {
+    RecordLag(state, from, now);
+    return;
+  }
+  if (changed) {
+    RequestFacts(state, registry, from, now, out);
+    return;
+  }
+  // No fact changed between the two revisions.
+  registry.as_of = version.as_of;
+}
+
+}  // namespace knapweedlift
--- /dev/null
+++ b/core/fleet/first_facts.cc
@@ -0,0 +1,204 @@
+#include "core/fleet/first_facts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedlift {
+namespace {
+
+Duration RandomPart(FleetState& state, Duration spread) {
+  return Duration(static_cast<int64_t>(state.random()) % spread.count());
+}
+
+bool FactsAreConfirmed(const FleetState& state, TimePoint now) {
+  return state.watching || now - state.confirmed_at <= kMaxFirstFactsAge;
+}
+
+void SendSnapshotRequest(FleetState& state, const Endpoint& to, bool may_wait,
+                         TimePoint now, FleetOutbox& out) {
+  FirstFactsState& first = state.first_facts;
+  first.next_request_at = now + kFirstFactsRequestTimeout *
+                                    (1 << std::max<size_t>(first.requests, 1));
+  out.push_back({{to},
+                 FactsRequest{.requester = state.self,
+                              .confirmed_only = true,
+                              .may_wait = may_wait}});
+}
+
+// A live serving VM of the failure domain, chosen at random among those other
+// than this VM and `requester`.
+std::optional<Endpoint> PickServingVm(FleetState& state,
+                                      const std::string& domain, VmId requester,
+                                      TimePoint now) {
+  std::vector<Endpoint> candidates;
+  for (const auto& [id, member] : state.members) {
+    const bool suitable = id != state.self.id && id != requester &&
+                          member.address.domain == domain &&
+                          member.heartbeat.phase == MemberPhase::kServing &&
+                          now < member.suspect_after;
+    if (suitable) candidates.push_back(member.address.control);
+  }
+  if (candidates.empty()) return {};
+  return candidates[state.random() % candidates.size()];
+}
+
+// The VM that a VM with facts refers the requester to; nothing if it serves the
+// requester itself.
+std::optional<Endpoint> ReferralOfServingVm(FleetState& state,
+                                            const VmAddress& requester,
+                                            TimePoint now) {
+  const bool busy = state.snapshots_in_flight >= kMaxSnapshotStreams;
+  const bool same_domain = requester.domain == state.self.domain;
+  if (same_domain && !busy) return {};
+  return PickServingVm(state, requester.domain, requester.id, now);
+}
+
+// The VM that a VM without facts refers the requester to: in turn, the VMs that
+// it knows to be waiting for facts or reading the platform.
+std::optional<Endpoint> ReferralOfStartingVm(FirstFactsState& first) {
+  const size_t count = first.platform_readers.size() + first.waiting.size();
+  if (count == 0) return {};
+  const size_t index = first.next_referral++ % count;
+  return index < first.platform_readers.size()
+             ? first.platform_readers[index]
+             : first.waiting[index - first.platform_readers.size()];
+}
+
+bool Contains(const std::vector<Endpoint>& list, const Endpoint& endpoint) {
+  return std::find(list.begin(), list.end(), endpoint) != list.end();
+}
+
+void SendReferral(const FleetState& state, const Endpoint& to,
+                  std::optional<Endpoint> peer, bool may_wait,
+                  FleetOutbox& out) {
+  out.push_back({{to},
+                 FactsReferral{.sender = state.self,
+                               .peer = std::move(peer),
+                               .may_wait = may_wait}});
+}
+
+// Lets the requester wait for a snapshot, which may follow at once, or refers
+// it to another VM if too many wait.
+void EnqueueOrRefer(FleetState& state, const Endpoint& requester,
+                    FleetOutbox& out) {
+  FirstFactsState& first = state.first_facts;
+  const bool known = Contains(first.waiting, requester);
+  if (known || first.waiting.size() < kMaxWaitingVms) {
+    if (!known) first.waiting.push_back(requester);
+    SendReferral(state, requester, state.self.control, false, out);
+    return;
+  }
+  SendReferral(state, requester, ReferralOfStartingVm(first), true, out);
+}
+
+// A seed without facts lets some VMs read the platform beside itself. Another
+// VM without facts sends a requester that may not wait here back to a seed.
+void HandleRequestWithoutFacts(FleetState& state, const Endpoint& requester,
+                               bool may_wait, FleetOutbox& out) {
+  if (!IsSeed(state)) {
+    if (may_wait) return EnqueueOrRefer(state, requester, out);
+    SendReferral(state, requester, NextSeed(state), false, out);
+    return;
+  }
+  std::vector<Endpoint>& readers = state.first_facts.platform_readers;
+  const bool granted = Contains(readers, requester);
+  if (!granted && readers.size() >= kMaxGrantedPlatformReads) {
+    return EnqueueOrRefer(state, requester, out);
+  }
+  if (!granted) readers.push_back(requester);
+  SendReferral(state, requester, {}, false, out);
+}
+
+}  // namespace
+
+void StartFirstFacts(FleetState& state, TimePoint now) {
+  std::vector<Endpoint> others = state.seeds;
+  std::erase(others, state.self.control);
+  const bool reads_at_once = IsSeed(state) || others.empty();
+  state.first_facts.platform_read_at = reads_at_once ? now : TimePoint::max();
+  state.first_facts.next_request_at = reads_at_once ? TimePoint::max() : now;
+}
+
+void RequestFirstFacts(FleetState& state, const Registry& registry,
+                       TimePoint now, FleetOutbox& out) {
+  FirstFactsState& first = state.first_facts;
+  if (registry.as_of != 0 || now < first.next_request_at) return;
+  if (first.requests == kMaxUnansweredFactsRequests) {
+    first.next_request_at = TimePoint::max();
+    first.platform_read_at = now + RandomPart(state, kPlatformReadSpread);
+    return;
+  }
+  const size_t index = (state.self.id + first.requests++) % state.seeds.size();
+  SendSnapshotRequest(state, state.seeds[index], false, now, out);
+  // Seeds that the whole fleet asks at once answer the requests first.
+  state.next_seed_at = std::max(state.next_seed_at, now + kMinSeedBackoff);
+}
+
+bool ShouldReadPlatform(const FleetState& state, const Registry& registry,
+                        TimePoint now) {
+  return registry.as_of == 0 && now >= state.first_facts.platform_read_at;
+}
+
+void HandleSnapshotRequest(FleetState& state, const Registry& registry,
+                           const VmAddress& requester,
+                           const FactsRequest& request, TimePoint now,
+                           FleetOutbox& out) {
+  const Endpoint& to = requester.control;
+  if (registry.as_of == 0) {
+    HandleRequestWithoutFacts(state, to, request.may_wait, out);
+    return;
+  }
+  if (request.confirmed_only && !FactsAreConfirmed(state, now)) {
+    SendReferral(state, to, {}, false, out);
+    return;
+  }
+  const auto peer = ReferralOfServingVm(state, requester, now);
+  if (peer.has_value()) {
+    SendReferral(state, to, peer, false, out);
+    return;
+  }
+  EnqueueOrRefer(state, to, out);
+  SendWaitingSnapshots(state, registry, out);
+}
+
+void HandleReferral(FleetState& state, const Registry& registry,
+                    const Endpoint& from, const FactsReferral& referral,
+                    TimePoint now, FleetOutbox& out) {
+  FirstFactsState& first = state.first_facts;
+  // A VM with facts, or one that reads the platform already, asks the peer when
+  // its next request is due.
+  if (registry.as_of != 0 || first.platform_read_at <= now) {
+    if (referral.peer.has_value()) state.catch_up_peer = *referral.peer;
+    return;
+  }
+  const bool exhausted = first.referrals++ == kMaxFactsReferrals;
+  if (!referral.peer.has_value() || exhausted) {
+    first.platform_read_at = now;
+    first.next_request_at = TimePoint::max();
+    return;
+  }
+  if (*referral.peer != from) {
+    SendSnapshotRequest(state, *referral.peer, referral.may_wait, now, out);
+    return;
+  }
+  first.next_request_at = TimePoint::max();
+  first.platform_read_at =
+      now + kSnapshotWait + RandomPart(state, kSnapshotWaitSpread);
+}
+
+void SendWaitingSnapshots(FleetState& state, const Registry& registry,
+                          FleetOutbox& out) {
+  std::vector<Endpoint>& waiting = state.first_facts.waiting;
+  if (registry.as_of == 0 || waiting.empty()) return;
+  if (state.snapshots_in_flight >= kMaxSnapshotStreams) return;
+  const size_t count =
+      std::min(waiting.size(), kMaxSnapshotStreams - state.snapshots_in_flight);
+  const auto end = waiting.begin() + static_cast<ptrdiff_t>(count);
+  out.push_back({{waiting.begin(), end},
+                 FactsNotice{.delta = DeltaSince(registry, 0),
+                             .confirmed_at = state.confirmed_at}});
+  waiting.erase(waiting.begin(), end);
+  state.snapshots_in_flight += count;
+}
+
+}  // namespace knapweedlift
--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "core/fleet/catch_up.h"
+#include "core/fleet/first_facts.h"
 #include "core/fleet/relay_tree.h"
 #include "core/fleet/watcher_election.h"
 
@@ -60,11 +62,6 @@
   return gossip;
 }
 
-void SendGossip(FleetState& state, const Registry& registry, const Endpoint& to,
-                bool reply_wanted, TimePoint now, FleetOutbox& out) {
-  out.push_back({{to}, MakeGossip(state, registry, reply_wanted, now)});
-}
-
 // Contacts a single seed at a time, so that a fleet that starts all at once
 // does not overload the seeds.
 void SendGossipToSeed(FleetState& state, const Registry& registry,
@@ -73,12 +70,8 @@
   state.seed_backoff =
       std::clamp(2 * state.seed_backoff, kMinSeedBackoff, kMaxSeedBackoff);
   state.next_seed_at = now + state.seed_backoff;
-  std::vector<Endpoint> seeds = state.seeds;
-  std::erase(seeds, state.self.control);
-  if (seeds.empty()) return;
-  // Round robin over the seeds, from a starting point that depends on the VM.
-  const size_t index = (state.self.id + state.seed_attempts++) % seeds.size();
-  SendGossip(state, registry, seeds[index], true, now, out);
+  const auto seed = NextSeed(state);
+  if (seed.has_value()) SendGossip(state, registry, *seed, true, now, out);
 }
 
 void SendDueGossip(FleetState& state, const Registry& registry, TimePoint now,
@@ -175,50 +168,6 @@
               now, out);
 }
 
-void RequestFacts(FleetState& state, const Registry& registry,
-                  const Endpoint& from, TimePoint now, FleetOutbox& out) {
-  if (now < state.next_facts_request_at) return;
-  state.next_facts_request_at = now + kFactsRequestInterval;
-  out.push_back({{from}, FactsRequest{.after = registry.as_of}});
-}
-
-// Records that a peer has changes that it can send only as a snapshot. The
-// snapshot is requested only if the platform does not provide the changes
-// within kSnapshotRequestDelay.
-void RecordLag(FleetState& state, const Endpoint& peer, TimePoint now) {
-  state.lagging_since = std::min(state.lagging_since, now);
-  state.catch_up_peer = peer;
-}
-
-void SendDueSnapshotRequest(FleetState& state, const Registry& registry,
-                            TimePoint now, FleetOutbox& out) {
-  if (state.lagging_since == TimePoint::max()) return;
-  const Duration delay =
-      registry.as_of == 0 ? kFirstSnapshotRequestDelay : kSnapshotRequestDelay;
-  if (now - state.lagging_since < delay || now < state.next_facts_request_at)
-    return;
-  state.next_facts_request_at = now + kSnapshotRequestInterval;
-  out.push_back({{state.catch_up_peer}, FactsRequest{.after = registry.as_of}});
-}
-
-// Requests facts from a peer whose version is newer.
-void CatchUpWith(FleetState& state, Registry& registry,
-                 const FactsVersion& version, const Endpoint& from,
-                 TimePoint now, FleetOutbox& out) {
-  if (version.as_of <= registry.as_of) return;
-  const bool changed = registry.as_of < version.last_change;
-  if (registry.as_of == 0 || (changed && registry.as_of < version.horizon)) {
-    RecordLag(state, from, now);
-    return;
-  }
-  if (changed) {
-    RequestFacts(state, registry, from, now, out);
-    return;
-  }
-  // No fact changed between the two revisions.
-  registry.as_of = version.as_of;
-}
-
 FleetMessageResult HandleMessage(FleetState& state, Registry& registry,
                                  VmId /*sender*/, const Endpoint& from,
                                  const FleetGossip& gossip, TimePoint now,
@@ -264,20 +213,37 @@
   }
   if (result != MergeResult::kMerged) return {};
   state.lagging_since = TimePoint::max();
+  state.confirmed_at = std::max(state.confirmed_at, notice.confirmed_at);
+  SendWaitingSnapshots(state, registry, out);
   if (notice.root != kNoVm) ForwardNotice(state, notice, out);
   return {.facts_changed = true};
 }
 
-FleetMessageResult HandleMessage(FleetState& /*state*/, Registry& registry,
-                                 VmId /*sender*/, const Endpoint& from,
-                                 const FactsRequest& request, TimePoint /*now*/,
+FleetMessageResult HandleMessage(FleetState& state, Registry& registry,
+                                 VmId sender, const Endpoint& from,
+                                 const FactsRequest& request, TimePoint now,
                                  FleetOutbox& out) {
+  const bool needs_snapshot =
+      request.after == 0 || request.after < registry.horizon;
+  if (needs_snapshot) {
+    HandleSnapshotRequest(state, registry, state.members.at(sender).address,
+                          request, now, out);
+    return {};
+  }
   if (registry.as_of <= request.after) return {};
   out.push_back(
       {{from}, FactsNotice{.delta = DeltaSince(registry, request.after)}});
   return {};
 }
 
+FleetMessageResult HandleMessage(FleetState& state, Registry& registry,
+                                 VmId /*sender*/, const Endpoint& from,
+                                 const FactsReferral& referral, TimePoint now,
+                                 FleetOutbox& out) {
+  HandleReferral(state, registry, from, referral, now, out);
+  return {};
+}
+
 FleetMessageResult HandleMessage(FleetState& state, Registry& registry,
                                  VmId /*sender*/, const Endpoint& from,
                                  const WatchLease& lease, TimePoint now,
@@ -336,8 +302,46 @@
   out.push_back({std::move(targets), LoadNotice{.servers = state.own_loads}});
 }
 
+// Leaves the watch to others until this VM has discovered its peers.
+void StartDiscovery(FleetState& state, TimePoint now) {
+  state.discovery_ends_at =
+      now + (IsSeed(state) ? kSeedDiscoveryTime : kDiscoveryTime);
+  state.watch_lease_expires_at =
+      std::max(state.watch_lease_expires_at, state.discovery_ends_at);
+}
+
+// The address that the sender's message carries, so that unknown VMs become
+// known; null if it carries none.
+const VmAddress* SenderAddress(const FleetMessage& message) {
+  if (const auto* gossip = std::get_if<FleetGossip>(&message)) {
+    return gossip->peers.empty() ? nullptr : &gossip->peers.front().address;
+  }
+  if (const auto* request = std::get_if<FactsRequest>(&message)) {
+    return request->requester.has_value() ? &*request->requester : nullptr;
+  }
+  const auto* referral = std::get_if<FactsReferral>(&message);
+  return referral == nullptr ? nullptr : &referral->sender;
+}
+
 }  // namespace
 
+bool IsSeed(const FleetState& state) {
+  return std::find(state.seeds.begin(), state.seeds.end(),
+                   state.self.control) != state.seeds.end();
+}
+
+std::optional<Endpoint> NextSeed(FleetState& state) {
+  std::vector<Endpoint> seeds = state.seeds;
+  std::erase(seeds, state.self.control);
+  if (seeds.empty()) return {};
+  return seeds[(state.self.id + state.seed_attempts++) % seeds.size()];
+}
+
+void SendGossip(FleetState& state, const Registry& registry, const Endpoint& to,
+                bool reply_wanted, TimePoint now, FleetOutbox& out) {
+  out.push_back({{to}, MakeGossip(state, registry, reply_wanted, now)});
+}
+
 FleetState StartFleet(const VmAddress& self, const std::vector<Endpoint>& seeds,
                       uint64_t incarnation, TimePoint now) {
   FleetState state{.self = self,
@@ -345,16 +349,18 @@
                    .seeds = seeds,
                    .random = std::minstd_rand(self.id),
                    .next_gossip_at = now,
-                   .discovery_ends_at = now + kDiscoveryTime,
-                   .watch_lease_expires_at = now + kDiscoveryTime,
                    .next_facts_request_at = now + kFactsRequestInterval};
   AdvanceHeartbeat(state, now);
+  StartDiscovery(state, now);
+  StartFirstFacts(state, now);
   return state;
 }
 
 void TickFleet(FleetState& state, const Registry& registry, TimePoint now,
                FleetOutbox& out) {
+  RequestFirstFacts(state, registry, now, out);
   SendDueGossip(state, registry, now, out);
+  SendWaitingSnapshots(state, registry, out);
   SendDueLoadNotice(state, now, out);
   SendDueSnapshotRequest(state, registry, now, out);
   if (state.watching && now >= state.next_lease_at) {
@@ -366,10 +372,9 @@
                                       VmId sender, const FleetMessage& message,
                                       TimePoint now, FleetOutbox& out) {
   if (sender == state.self.id) return {};
-  // Gossip carries the sender's address, so that unknown VMs become known.
-  const auto* gossip = std::get_if<FleetGossip>(&message);
-  if (gossip != nullptr && !gossip->peers.empty()) {
-    UpdateAddress(state.members, gossip->peers.front().address);
+  const VmAddress* address = SenderAddress(message);
+  if (address != nullptr && address->id == sender) {
+    UpdateAddress(state.members, *address);
   }
   const auto found = state.members.find(sender);
   if (found == state.members.end()) return {};
@@ -424,6 +429,10 @@
   for (const Endpoint& target : targets) {
     SendGossip(state, registry, target, false, now, out);
   }
+  if (phase != MemberPhase::kServing) return;
+  StartDiscovery(state, now);
+  const auto seed = NextSeed(state);
+  if (seed.has_value()) SendGossip(state, registry, *seed, true, now, out);
 }
 
 std::vector<VmId> DomainVms(const FleetState& state) {
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLIFT_CORE_FLEET_FLEET_H_
 #define KNAPWEEDLIFT_CORE_FLEET_FLEET_H_
 
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -9,6 +10,23 @@
 
 namespace knapweedlift {
 
+// The state of a VM that gets its first facts, and of one that helps others to
+// theirs; core/fleet/first_facts.h.
+struct FirstFactsState {
+  // When the next request for a snapshot is due; max() if none is.
+  TimePoint next_request_at;
+  // Requests to seeds, and referrals that were followed.
+  size_t requests = 0;
+  size_t referrals = 0;
+  // From then on a VM without facts reads the platform itself.
+  TimePoint platform_read_at;
+  // VMs that wait for a snapshot of this VM, in the order of their requests.
+  std::vector<Endpoint> waiting;
+  // VMs that this VM has told to read the platform.
+  std::vector<Endpoint> platform_readers;
+  size_t next_referral = 0;
+};
+
 // Replication of facts and load between VMs. One VM, the watcher, watches the
 // platform and distributes its changes. Every VM can take over, so that each
 // side of a network partition has its own watcher.
@@ -48,6 +66,9 @@
   TimePoint lagging_since = TimePoint::max();
   // The last peer that reported having them.
   Endpoint catch_up_peer;
+  FirstFactsState first_facts;
+  // Streams on which this VM is sending large messages.
+  size_t snapshots_in_flight = 0;
   // Load that the flows of this VM and of other VMs put on servers.
   std::vector<ServerLoad> own_loads;
   std::vector<DomainLoad> domain_loads;
@@ -69,8 +90,9 @@
 // A lagging VM first asks the platform for the changes; after this delay it
 // asks a peer for a snapshot.
 inline constexpr Duration kSnapshotRequestDelay{1'500};
-// Delay of the first snapshot request of a VM without any facts, which cannot
-// serve. A platform that is reachable responds sooner than this.
+// Delay from a VM's first read of the platform until it accepts any peer's
+// snapshot, without which it cannot serve. A platform that is reachable
+// responds sooner than this.
 inline constexpr Duration kFirstSnapshotRequestDelay{300};
 inline constexpr Duration kSnapshotRequestInterval{2'000};
 inline constexpr Duration kMinSeedBackoff{500};
@@ -78,12 +100,19 @@
 // VMs of the own failure domain that get load notices.
 inline constexpr size_t kLoadNoticeFanout = 8;
 inline constexpr size_t kMaxGossipDomainLoads = 16;
-inline constexpr Duration kDiscoveryTime{600};
+// Time from the start, and again from serving, until a VM may claim the watch
+// without knowing its holder. Seeds know most VMs first and go ahead.
+inline constexpr Duration kSeedDiscoveryTime{600};
+inline constexpr Duration kDiscoveryTime{1'200};
 
 // Returns the state of a VM that starts at `now`.
 FleetState StartFleet(const VmAddress& self, const std::vector<Endpoint>& seeds,
                       uint64_t incarnation, TimePoint now);
 
+// Sends gossip about this VM and some of its peers to `to`.
+void SendGossip(FleetState& state, const Registry& registry, const Endpoint& to,
+                bool reply_wanted, TimePoint now, FleetOutbox& out);
+
 // Sends gossip, load notices, snapshot requests and lease renewals that are
 // due.
 void TickFleet(FleetState& state, const Registry& registry, TimePoint now,
@@ -98,8 +127,8 @@
   auto operator<=>(const FleetMessageResult&) const = default;
 };
 
-// Handles a message of the VM `sender`. If the sender is unknown, everything
-// but gossip is ignored.
+// Handles a message of the VM `sender`. A message of an unknown sender is
+// ignored unless it carries the sender's address.
 FleetMessageResult HandleFleetMessage(FleetState& state, Registry& registry,
                                       VmId sender, const FleetMessage& message,
                                       TimePoint now, FleetOutbox& out);
@@ -126,11 +155,18 @@
 void SendSuspicions(const FleetState& state, const std::vector<Mark>& marks,
                     FleetOutbox& out);
 
+// True if the settings name this VM as a seed.
+bool IsSeed(const FleetState& state);
+
+// A seed other than this VM, in turn. Nothing if there is none.
+std::optional<Endpoint> NextSeed(FleetState& state);
+
 // Number of other VMs of the failure domain whose lease has not expired.
 size_t CountLivePeers(const FleetState& state, TimePoint now);
 
 // Enters a phase and announces it to live VMs of the failure domain, at most
-// kMaxFleetGossipPeers of them.
+// kMaxFleetGossipPeers of them. A VM that starts to serve exchanges gossip with
+// a seed as well, which knows more VMs than it does.
 void EnterPhase(FleetState& state, const Registry& registry, MemberPhase phase,
                 TimePoint now, FleetOutbox& out);
 
--- a/core/fleet/messages.h
+++ b/core/fleet/messages.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLIFT_CORE_FLEET_MESSAGES_H_
 
 #include <compare>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -63,17 +64,42 @@
   // request, which is not relayed.
   VmId root = kNoVm;
   FactDelta delta;
+  // When the sender's facts were last confirmed to be current; the epoch if
+  // that is unknown.
+  TimePoint confirmed_at;
 
   auto operator<=>(const FactsNotice&) const = default;
 };
 
-// Requests the changes after a revision.
+// Requests the changes after a revision; 0 requests a snapshot.
 struct FactsRequest {
   Revision after = 0;
+  // The address of a VM that the receiver may not know, for requests of first
+  // facts.
+  std::optional<VmAddress> requester;
+  // A snapshot is wanted only if the receiver's facts are confirmed.
+  bool confirmed_only = false;
+  // The receiver may let the requester wait until it has facts itself.
+  bool may_wait = false;
 
   auto operator<=>(const FactsRequest&) const = default;
 };
 
+// Reply to a request for a snapshot that the sender does not serve at once.
+struct FactsReferral {
+  // The sender's address; the receiver may not know the sender.
+  VmAddress sender;
+  // The VM to ask instead. The sender itself if the requester is to wait for
+  // the sender's snapshot; nothing if it is to read the platform.
+  std::optional<Endpoint> peer;
+  // The peer is waiting for facts that the sender will pass on. Only such a VM
+  // may let the requester wait: two restarted VMs that were referred to each
+  // other would wait forever.
+  bool may_wait = false;
+
+  auto operator<=>(const FactsReferral&) const = default;
+};
+
 // Announces that the watcher watches the platform for the fleet, or has stopped
 // doing so. The lease expires unless it is renewed.
 struct WatchLease {
@@ -94,8 +120,9 @@
   auto operator<=>(const SuspicionNotice&) const = default;
 };
 
-using FleetMessage = std::variant<FleetGossip, FactsNotice, FactsRequest,
-                                  WatchLease, SuspicionNotice, LoadNotice>;
+using FleetMessage =
+    std::variant<FleetGossip, FactsNotice, FactsRequest, WatchLease,
+                 SuspicionNotice, LoadNotice, FactsReferral>;
 
 // A message and the endpoints that it is sent to.
 struct FleetEnvelope {
--- a/drivers/fleet.thrift
+++ b/drivers/fleet.thrift
@@ -95,10 +95,27 @@
   6: list<RouteChangeT> routes
   7: optional LimitsChangeT limits
   8: optional i64 removals_held_ms
+  // Time since the sender's facts were confirmed; absent if unknown.
+  9: optional i64 confirmed_ms_ago
+}
+
+struct FleetVmT {
+  1: i64 vm
+  2: FleetEndpointT control
+  3: string failure_domain
 }
 
 struct FactsRequestT {
   1: i64 after
+  2: optional bool confirmed_only
+  3: optional FleetVmT requester
+  4: optional bool may_wait
+}
+
+struct FactsReferralT {
+  1: optional FleetEndpointT peer
+  2: FleetVmT sender
+  3: optional bool may_wait
 }
 
 struct WatchLeaseT {
@@ -121,6 +138,7 @@
   4: WatchLeaseT watch_lease
   5: SuspicionNoticeT suspicion_notice
   6: LoadNoticeT load_notice
+  7: FactsReferralT facts_referral
 }
 
 struct FleetMessageT {
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -53,6 +53,20 @@
           .horizon = Narrow<Revision>(wire.horizon)};
 }
 
+gen::FleetVmT ToWire(const VmAddress& address) {
+  gen::FleetVmT wire;
+  wire.vm = address.id;
+  wire.control = ToWire(address.control);
+  wire.failure_domain = address.domain;
+  return wire;
+}
+
+VmAddress FromWire(const gen::FleetVmT& wire) {
+  return {.id = Narrow<VmId>(wire.vm),
+          .control = FromWire(wire.control),
+          .domain = wire.failure_domain};
+}
+
 gen::FleetPeerT ToWire(const FleetPeer& peer) {
   gen::FleetPeerT wire;
   wire.vm = peer.address.id;
@@ -182,6 +196,9 @@
     limits.idle_timeout_ms = delta.limits->limits.idle_timeout.count();
     wire.__set_limits(limits);
   }
+  if (notice.confirmed_at != TimePoint{}) {
+    wire.__set_confirmed_ms_ago((now - notice.confirmed_at).count());
+  }
   if (delta.removals_held_until > now) {
     wire.__set_removals_held_ms((delta.removals_held_until - now).count());
   }
@@ -210,6 +227,10 @@
         now + Duration(std::clamp<int64_t>(wire.removals_held_ms, 0,
                                            kMaxRemovalHoldMs));
   }
+  if (wire.__isset.confirmed_ms_ago) {
+    notice.confirmed_at =
+        now - Duration(Narrow<uint32_t>(wire.confirmed_ms_ago));
+  }
   if (wire.__isset.limits) {
     notice.delta.limits = {
         .revision = Narrow<Revision>(wire.limits.revision),
@@ -247,8 +268,20 @@
   void operator()(const FactsRequest& request) const {
     gen::FactsRequestT wire;
     wire.after = static_cast<int64_t>(request.after);
+    if (request.confirmed_only) wire.__set_confirmed_only(true);
+    if (request.may_wait) wire.__set_may_wait(true);
+    if (request.requester.has_value()) {
+      wire.__set_requester(ToWire(*request.requester));
+    }
     body.__set_facts_request(wire);
   }
+  void operator()(const FactsReferral& referral) const {
+    gen::FactsReferralT wire;
+    wire.sender = ToWire(referral.sender);
+    if (referral.may_wait) wire.__set_may_wait(true);
+    if (referral.peer.has_value()) wire.__set_peer(ToWire(*referral.peer));
+    body.__set_facts_referral(wire);
+  }
   void operator()(const WatchLease& lease) const {
     gen::WatchLeaseT wire;
     wire.root = lease.root;
@@ -299,7 +332,22 @@
   }
   if (body.__isset.facts_notice) return FromWire(body.facts_notice, now);
   if (body.__isset.facts_request) {
-    return FactsRequest{.after = Narrow<Revision>(body.facts_request.after)};
+    const gen::FactsRequestT& wire = body.facts_request;
+    FactsRequest request{
+        .after = Narrow<Revision>(wire.after),
+        .confirmed_only = wire.__isset.confirmed_only && wire.confirmed_only,
+        .may_wait = wire.__isset.may_wait && wire.may_wait};
+    if (wire.__isset.requester) request.requester = FromWire(wire.requester);
+    return request;
+  }
+  if (body.__isset.facts_referral) {
+    const gen::FactsReferralT& wire = body.facts_referral;
+    FactsReferral referral{.sender = FromWire(wire.sender),
+                           .may_wait = wire.__isset.may_wait && wire.may_wait};
+    if (wire.__isset.peer) {
+      referral.peer = FromWire(wire.peer);
+    }
+    return referral;
   }
   if (body.__isset.watch_lease) {
     return WatchLease{.root = Narrow<VmId>(body.watch_lease.root),
--- a/drivers/gen/fleet_types.cpp
+++ b/drivers/gen/fleet_types.cpp
@@ -2106,6 +2106,11 @@
   this->removals_held_ms = val;
 __isset.removals_held_ms = true;
 }
+
+void FactsNoticeT::__set_confirmed_ms_ago(const int64_t val) {
+  this->confirmed_ms_ago = val;
+__isset.confirmed_ms_ago = true;
+}
 std::ostream& operator<<(std::ostream& out, const FactsNoticeT& obj)
 {
   obj.printTo(out);
@@ -2222,6 +2227,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmed_ms_ago);
+          this->__isset.confirmed_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2290,6 +2303,11 @@
     xfer += oprot->writeI64(this->removals_held_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.confirmed_ms_ago) {
+    xfer += oprot->writeFieldBegin("confirmed_ms_ago", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->confirmed_ms_ago);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2305,6 +2323,7 @@
   swap(a.routes, b.routes);
   swap(a.limits, b.limits);
   swap(a.removals_held_ms, b.removals_held_ms);
+  swap(a.confirmed_ms_ago, b.confirmed_ms_ago);
   swap(a.__isset, b.__isset);
 }
 
@@ -2317,6 +2336,7 @@
   routes = other84.routes;
   limits = other84.limits;
   removals_held_ms = other84.removals_held_ms;
+  confirmed_ms_ago = other84.confirmed_ms_ago;
   __isset = other84.__isset;
 }
 FactsNoticeT::FactsNoticeT(FactsNoticeT&& other85) noexcept {
@@ -2328,6 +2348,7 @@
   routes = std::move(other85.routes);
   limits = std::move(other85.limits);
   removals_held_ms = other85.removals_held_ms;
+  confirmed_ms_ago = other85.confirmed_ms_ago;
   __isset = other85.__isset;
 }
 FactsNoticeT& FactsNoticeT::operator=(const FactsNoticeT& other86) {
@@ -2339,6 +2360,7 @@
   routes = other86.routes;
   limits = other86.limits;
   removals_held_ms = other86.removals_held_ms;
+  confirmed_ms_ago = other86.confirmed_ms_ago;
   __isset = other86.__isset;
   return *this;
 }
@@ -2351,6 +2373,7 @@
   routes = std::move(other87.routes);
   limits = std::move(other87.limits);
   removals_held_ms = other87.removals_held_ms;
+  confirmed_ms_ago = other87.confirmed_ms_ago;
   __isset = other87.__isset;
   return *this;
 }
@@ -2365,6 +2388,152 @@
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "removals_held_ms="; (__isset.removals_held_ms ? (out << to_string(removals_held_ms)) : (out << "<null>"));
+  out << ", " << "confirmed_ms_ago="; (__isset.confirmed_ms_ago ? (out << to_string(confirmed_ms_ago)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FleetVmT::~FleetVmT() noexcept {
+}
+
+
+void FleetVmT::__set_vm(const int64_t val) {
+  this->vm = val;
+}
+
+void FleetVmT::__set_control(const FleetEndpointT& val) {
+  this->control = val;
+}
+
+void FleetVmT::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetVmT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetVmT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control.read(iprot);
+          this->__isset.control = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetVmT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetVmT");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->control.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetVmT &a, FleetVmT &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.control, b.control);
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.__isset, b.__isset);
+}
+
+FleetVmT::FleetVmT(const FleetVmT& other88) {
+  vm = other88.vm;
+  control = other88.control;
+  failure_domain = other88.failure_domain;
+  __isset = other88.__isset;
+}
+FleetVmT::FleetVmT(FleetVmT&& other89) noexcept {
+  vm = other89.vm;
+  control = std::move(other89.control);
+  failure_domain = std::move(other89.failure_domain);
+  __isset = other89.__isset;
+}
+FleetVmT& FleetVmT::operator=(const FleetVmT& other90) {
+  vm = other90.vm;
+  control = other90.control;
+  failure_domain = other90.failure_domain;
+  __isset = other90.__isset;
+  return *this;
+}
+FleetVmT& FleetVmT::operator=(FleetVmT&& other91) noexcept {
+  vm = other91.vm;
+  control = std::move(other91.control);
+  failure_domain = std::move(other91.failure_domain);
+  __isset = other91.__isset;
+  return *this;
+}
+void FleetVmT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetVmT(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "control=" << to_string(control);
+  out << ", " << "failure_domain=" << to_string(failure_domain);
   out << ")";
 }
 
@@ -2376,6 +2545,21 @@
 void FactsRequestT::__set_after(const int64_t val) {
   this->after = val;
 }
+
+void FactsRequestT::__set_confirmed_only(const bool val) {
+  this->confirmed_only = val;
+__isset.confirmed_only = true;
+}
+
+void FactsRequestT::__set_requester(const FleetVmT& val) {
+  this->requester = val;
+__isset.requester = true;
+}
+
+void FactsRequestT::__set_may_wait(const bool val) {
+  this->may_wait = val;
+__isset.may_wait = true;
+}
 std::ostream& operator<<(std::ostream& out, const FactsRequestT& obj)
 {
   obj.printTo(out);
@@ -2412,6 +2596,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed_only);
+          this->__isset.confirmed_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->requester.read(iprot);
+          this->__isset.requester = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_wait);
+          this->__isset.may_wait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2433,6 +2641,21 @@
   xfer += oprot->writeI64(this->after);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirmed_only) {
+    xfer += oprot->writeFieldBegin("confirmed_only", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->confirmed_only);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requester) {
+    xfer += oprot->writeFieldBegin("requester", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->requester.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.may_wait) {
+    xfer += oprot->writeFieldBegin("may_wait", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->may_wait);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2441,31 +2664,198 @@
 void swap(FactsRequestT &a, FactsRequestT &b) {
   using ::std::swap;
   swap(a.after, b.after);
+  swap(a.confirmed_only, b.confirmed_only);
+  swap(a.requester, b.requester);
+  swap(a.may_wait, b.may_wait);
   swap(a.__isset, b.__isset);
 }
 
-FactsRequestT::FactsRequestT(const FactsRequestT& other88) noexcept {
-  after = other88.after;
-  __isset = other88.__isset;
+FactsRequestT::FactsRequestT(const FactsRequestT& other92) {
+  after = other92.after;
+  confirmed_only = other92.confirmed_only;
+  requester = other92.requester;
+  may_wait = other92.may_wait;
+  __isset = other92.__isset;
 }
-FactsRequestT::FactsRequestT(FactsRequestT&& other89) noexcept {
-  after = other89.after;
-  __isset = other89.__isset;
+FactsRequestT::FactsRequestT(FactsRequestT&& other93) noexcept {
+  after = other93.after;
+  confirmed_only = other93.confirmed_only;
+  requester = std::move(other93.requester);
+  may_wait = other93.may_wait;
+  __isset = other93.__isset;
 }
-FactsRequestT& FactsRequestT::operator=(const FactsRequestT& other90) noexcept {
-  after = other90.after;
-  __isset = other90.__isset;
+FactsRequestT& FactsRequestT::operator=(const FactsRequestT& other94) {
+  after = other94.after;
+  confirmed_only = other94.confirmed_only;
+  requester = other94.requester;
+  may_wait = other94.may_wait;
+  __isset = other94.__isset;
   return *this;
 }
-FactsRequestT& FactsRequestT::operator=(FactsRequestT&& other91) noexcept {
-  after = other91.after;
-  __isset = other91.__isset;
+FactsRequestT& FactsRequestT::operator=(FactsRequestT&& other95) noexcept {
+  after = other95.after;
+  confirmed_only = other95.confirmed_only;
+  requester = std::move(other95.requester);
+  may_wait = other95.may_wait;
+  __isset = other95.__isset;
   return *this;
 }
 void FactsRequestT::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "FactsRequestT(";
   out << "after=" << to_string(after);
+  out << ", " << "confirmed_only="; (__isset.confirmed_only ? (out << to_string(confirmed_only)) : (out << "<null>"));
+  out << ", " << "requester="; (__isset.requester ? (out << to_string(requester)) : (out << "<null>"));
+  out << ", " << "may_wait="; (__isset.may_wait ? (out << to_string(may_wait)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FactsReferralT::~FactsReferralT() noexcept {
+}
+
+
+void FactsReferralT::__set_peer(const FleetEndpointT& val) {
+  this->peer = val;
+__isset.peer = true;
+}
+
+void FactsReferralT::__set_sender(const FleetVmT& val) {
+  this->sender = val;
+}
+
+void FactsReferralT::__set_may_wait(const bool val) {
+  this->may_wait = val;
+__isset.may_wait = true;
+}
+std::ostream& operator<<(std::ostream& out, const FactsReferralT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FactsReferralT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->peer.read(iprot);
+          this->__isset.peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_wait);
+          this->__isset.may_wait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FactsReferralT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FactsReferralT");
+
+  if (this->__isset.peer) {
+    xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->peer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.may_wait) {
+    xfer += oprot->writeFieldBegin("may_wait", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->may_wait);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FactsReferralT &a, FactsReferralT &b) {
+  using ::std::swap;
+  swap(a.peer, b.peer);
+  swap(a.sender, b.sender);
+  swap(a.may_wait, b.may_wait);
+  swap(a.__isset, b.__isset);
+}
+
+FactsReferralT::FactsReferralT(const FactsReferralT& other96) {
+  peer = other96.peer;
+  sender = other96.sender;
+  may_wait = other96.may_wait;
+  __isset = other96.__isset;
+}
+FactsReferralT::FactsReferralT(FactsReferralT&& other97) noexcept {
+  peer = std::move(other97.peer);
+  sender = std::move(other97.sender);
+  may_wait = other97.may_wait;
+  __isset = other97.__isset;
+}
+FactsReferralT& FactsReferralT::operator=(const FactsReferralT& other98) {
+  peer = other98.peer;
+  sender = other98.sender;
+  may_wait = other98.may_wait;
+  __isset = other98.__isset;
+  return *this;
+}
+FactsReferralT& FactsReferralT::operator=(FactsReferralT&& other99) noexcept {
+  peer = std::move(other99.peer);
+  sender = std::move(other99.sender);
+  may_wait = other99.may_wait;
+  __isset = other99.__isset;
+  return *this;
+}
+void FactsReferralT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FactsReferralT(";
+  out << "peer="; (__isset.peer ? (out << to_string(peer)) : (out << "<null>"));
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "may_wait="; (__isset.may_wait ? (out << to_string(may_wait)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2596,34 +2986,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchLeaseT::WatchLeaseT(const WatchLeaseT& other92) noexcept {
-  root = other92.root;
-  watching = other92.watching;
-  facts = other92.facts;
-  watcher = other92.watcher;
-  __isset = other92.__isset;
+WatchLeaseT::WatchLeaseT(const WatchLeaseT& other100) noexcept {
+  root = other100.root;
+  watching = other100.watching;
+  facts = other100.facts;
+  watcher = other100.watcher;
+  __isset = other100.__isset;
 }
-WatchLeaseT::WatchLeaseT(WatchLeaseT&& other93) noexcept {
-  root = other93.root;
-  watching = other93.watching;
-  facts = std::move(other93.facts);
-  watcher = other93.watcher;
-  __isset = other93.__isset;
+WatchLeaseT::WatchLeaseT(WatchLeaseT&& other101) noexcept {
+  root = other101.root;
+  watching = other101.watching;
+  facts = std::move(other101.facts);
+  watcher = other101.watcher;
+  __isset = other101.__isset;
 }
-WatchLeaseT& WatchLeaseT::operator=(const WatchLeaseT& other94) noexcept {
-  root = other94.root;
-  watching = other94.watching;
-  facts = other94.facts;
-  watcher = other94.watcher;
-  __isset = other94.__isset;
+WatchLeaseT& WatchLeaseT::operator=(const WatchLeaseT& other102) noexcept {
+  root = other102.root;
+  watching = other102.watching;
+  facts = other102.facts;
+  watcher = other102.watcher;
+  __isset = other102.__isset;
   return *this;
 }
-WatchLeaseT& WatchLeaseT::operator=(WatchLeaseT&& other95) noexcept {
-  root = other95.root;
-  watching = other95.watching;
-  facts = std::move(other95.facts);
-  watcher = other95.watcher;
-  __isset = other95.__isset;
+WatchLeaseT& WatchLeaseT::operator=(WatchLeaseT&& other103) noexcept {
+  root = other103.root;
+  watching = other103.watching;
+  facts = std::move(other103.facts);
+  watcher = other103.watcher;
+  __isset = other103.__isset;
   return *this;
 }
 void WatchLeaseT::printTo(std::ostream& out) const {
@@ -2688,14 +3078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->marks.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->marks.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->marks.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readI32(this->marks[_i100]);
+              xfer += iprot->readI32(this->marks[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2728,10 +3118,10 @@
   xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->marks.size()));
-    std::vector<int32_t> ::const_iterator _iter101;
-    for (_iter101 = this->marks.begin(); _iter101 != this->marks.end(); ++_iter101)
+    std::vector<int32_t> ::const_iterator _iter109;
+    for (_iter109 = this->marks.begin(); _iter109 != this->marks.end(); ++_iter109)
     {
-      xfer += oprot->writeI32((*_iter101));
+      xfer += oprot->writeI32((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2749,26 +3139,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspicionNoticeT::SuspicionNoticeT(const SuspicionNoticeT& other102) {
-  root = other102.root;
-  marks = other102.marks;
-  __isset = other102.__isset;
+SuspicionNoticeT::SuspicionNoticeT(const SuspicionNoticeT& other110) {
+  root = other110.root;
+  marks = other110.marks;
+  __isset = other110.__isset;
 }
-SuspicionNoticeT::SuspicionNoticeT(SuspicionNoticeT&& other103) noexcept {
-  root = other103.root;
-  marks = std::move(other103.marks);
-  __isset = other103.__isset;
+SuspicionNoticeT::SuspicionNoticeT(SuspicionNoticeT&& other111) noexcept {
+  root = other111.root;
+  marks = std::move(other111.marks);
+  __isset = other111.__isset;
 }
-SuspicionNoticeT& SuspicionNoticeT::operator=(const SuspicionNoticeT& other104) {
-  root = other104.root;
-  marks = other104.marks;
-  __isset = other104.__isset;
+SuspicionNoticeT& SuspicionNoticeT::operator=(const SuspicionNoticeT& other112) {
+  root = other112.root;
+  marks = other112.marks;
+  __isset = other112.__isset;
   return *this;
 }
-SuspicionNoticeT& SuspicionNoticeT::operator=(SuspicionNoticeT&& other105) noexcept {
-  root = other105.root;
-  marks = std::move(other105.marks);
-  __isset = other105.__isset;
+SuspicionNoticeT& SuspicionNoticeT::operator=(SuspicionNoticeT&& other113) noexcept {
+  root = other113.root;
+  marks = std::move(other113.marks);
+  __isset = other113.__isset;
   return *this;
 }
 void SuspicionNoticeT::printTo(std::ostream& out) const {
@@ -2813,6 +3203,11 @@
   this->load_notice = val;
 __isset.load_notice = true;
 }
+
+void FleetBodyT::__set_facts_referral(const FactsReferralT& val) {
+  this->facts_referral = val;
+__isset.facts_referral = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetBodyT& obj)
 {
   obj.printTo(out);
@@ -2889,6 +3284,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->facts_referral.read(iprot);
+          this->__isset.facts_referral = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2936,6 +3339,11 @@
     xfer += this->load_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.facts_referral) {
+    xfer += oprot->writeFieldBegin("facts_referral", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->facts_referral.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2949,45 +3357,50 @@
   swap(a.watch_lease, b.watch_lease);
   swap(a.suspicion_notice, b.suspicion_notice);
   swap(a.load_notice, b.load_notice);
+  swap(a.facts_referral, b.facts_referral);
   swap(a.__isset, b.__isset);
 }
 
-FleetBodyT::FleetBodyT(const FleetBodyT& other106) {
-  gossip = other106.gossip;
-  facts_notice = other106.facts_notice;
-  facts_request = other106.facts_request;
-  watch_lease = other106.watch_lease;
-  suspicion_notice = other106.suspicion_notice;
-  load_notice = other106.load_notice;
-  __isset = other106.__isset;
-}
-FleetBodyT::FleetBodyT(FleetBodyT&& other107) noexcept {
-  gossip = std::move(other107.gossip);
-  facts_notice = std::move(other107.facts_notice);
-  facts_request = std::move(other107.facts_request);
-  watch_lease = std::move(other107.watch_lease);
-  suspicion_notice = std::move(other107.suspicion_notice);
-  load_notice = std::move(other107.load_notice);
-  __isset = other107.__isset;
-}
-FleetBodyT& FleetBodyT::operator=(const FleetBodyT& other108) {
-  gossip = other108.gossip;
-  facts_notice = other108.facts_notice;
-  facts_request = other108.facts_request;
-  watch_lease = other108.watch_lease;
-  suspicion_notice = other108.suspicion_notice;
-  load_notice = other108.load_notice;
-  __isset = other108.__isset;
+FleetBodyT::FleetBodyT(const FleetBodyT& other114) {
+  gossip = other114.gossip;
+  facts_notice = other114.facts_notice;
+  facts_request = other114.facts_request;
+  watch_lease = other114.watch_lease;
+  suspicion_notice = other114.suspicion_notice;
+  load_notice = other114.load_notice;
+  facts_referral = other114.facts_referral;
+  __isset = other114.__isset;
+}
+FleetBodyT::FleetBodyT(FleetBodyT&& other115) noexcept {
+  gossip = std::move(other115.gossip);
+  facts_notice = std::move(other115.facts_notice);
+  facts_request = std::move(other115.facts_request);
+  watch_lease = std::move(other115.watch_lease);
+  suspicion_notice = std::move(other115.suspicion_notice);
+  load_notice = std::move(other115.load_notice);
+  facts_referral = std::move(other115.facts_referral);
+  __isset = other115.__isset;
+}
+FleetBodyT& FleetBodyT::operator=(const FleetBodyT& other116) {
+  gossip = other116.gossip;
+  facts_notice = other116.facts_notice;
+  facts_request = other116.facts_request;
+  watch_lease = other116.watch_lease;
+  suspicion_notice = other116.suspicion_notice;
+  load_notice = other116.load_notice;
+  facts_referral = other116.facts_referral;
+  __isset = other116.__isset;
   return *this;
 }
-FleetBodyT& FleetBodyT::operator=(FleetBodyT&& other109) noexcept {
-  gossip = std::move(other109.gossip);
-  facts_notice = std::move(other109.facts_notice);
-  facts_request = std::move(other109.facts_request);
-  watch_lease = std::move(other109.watch_lease);
-  suspicion_notice = std::move(other109.suspicion_notice);
-  load_notice = std::move(other109.load_notice);
-  __isset = other109.__isset;
+FleetBodyT& FleetBodyT::operator=(FleetBodyT&& other117) noexcept {
+  gossip = std::move(other117.gossip);
+  facts_notice = std::move(other117.facts_notice);
+  facts_request = std::move(other117.facts_request);
+  watch_lease = std::move(other117.watch_lease);
+  suspicion_notice = std::move(other117.suspicion_notice);
+  load_notice = std::move(other117.load_notice);
+  facts_referral = std::move(other117.facts_referral);
+  __isset = other117.__isset;
   return *this;
 }
 void FleetBodyT::printTo(std::ostream& out) const {
@@ -2999,6 +3412,7 @@
   out << ", " << "watch_lease="; (__isset.watch_lease ? (out << to_string(watch_lease)) : (out << "<null>"));
   out << ", " << "suspicion_notice="; (__isset.suspicion_notice ? (out << to_string(suspicion_notice)) : (out << "<null>"));
   out << ", " << "load_notice="; (__isset.load_notice ? (out << to_string(load_notice)) : (out << "<null>"));
+  out << ", " << "facts_referral="; (__isset.facts_referral ? (out << to_string(facts_referral)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3112,30 +3526,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetMessageT::FleetMessageT(const FleetMessageT& other110) {
-  deployment = other110.deployment;
-  sender = other110.sender;
-  body = other110.body;
-  __isset = other110.__isset;
+FleetMessageT::FleetMessageT(const FleetMessageT& other118) {
+  deployment = other118.deployment;
+  sender = other118.sender;
+  body = other118.body;
+  __isset = other118.__isset;
 }
-FleetMessageT::FleetMessageT(FleetMessageT&& other111) noexcept {
-  deployment = other111.deployment;
-  sender = other111.sender;
-  body = std::move(other111.body);
-  __isset = other111.__isset;
+FleetMessageT::FleetMessageT(FleetMessageT&& other119) noexcept {
+  deployment = other119.deployment;
+  sender = other119.sender;
+  body = std::move(other119.body);
+  __isset = other119.__isset;
 }
-FleetMessageT& FleetMessageT::operator=(const FleetMessageT& other112) {
-  deployment = other112.deployment;
-  sender = other112.sender;
-  body = other112.body;
-  __isset = other112.__isset;
+FleetMessageT& FleetMessageT::operator=(const FleetMessageT& other120) {
+  deployment = other120.deployment;
+  sender = other120.sender;
+  body = other120.body;
+  __isset = other120.__isset;
   return *this;
 }
-FleetMessageT& FleetMessageT::operator=(FleetMessageT&& other113) noexcept {
-  deployment = other113.deployment;
-  sender = other113.sender;
-  body = std::move(other113.body);
-  __isset = other113.__isset;
+FleetMessageT& FleetMessageT::operator=(FleetMessageT&& other121) noexcept {
+  deployment = other121.deployment;
+  sender = other121.sender;
+  body = std::move(other121.body);
+  __isset = other121.__isset;
   return *this;
 }
 void FleetMessageT::printTo(std::ostream& out) const {
--- a/drivers/gen/fleet_types.h
+++ b/drivers/gen/fleet_types.h
@@ -47,8 +47,12 @@
 
 class FactsNoticeT;
 
+class FleetVmT;
+
 class FactsRequestT;
 
+class FactsReferralT;
+
 class WatchLeaseT;
 
 class SuspicionNoticeT;
@@ -841,7 +845,7 @@
 std::ostream& operator<<(std::ostream& out, const LimitsChangeT& obj);
 
 typedef struct _FactsNoticeT__isset {
-  _FactsNoticeT__isset() : root(false), after(false), as_of(false), whole(false), servers(false), routes(false), limits(false), removals_held_ms(false) {}
+  _FactsNoticeT__isset() : root(false), after(false), as_of(false), whole(false), servers(false), routes(false), limits(false), removals_held_ms(false), confirmed_ms_ago(false) {}
   bool root :1;
   bool after :1;
   bool as_of :1;
@@ -850,6 +854,7 @@
   bool routes :1;
   bool limits :1;
   bool removals_held_ms :1;
+  bool confirmed_ms_ago :1;
 } _FactsNoticeT__isset;
 
 class FactsNoticeT : public virtual ::apache::thrift::TBase {
@@ -864,7 +869,8 @@
                  after(0),
                  as_of(0),
                  whole(0),
-                 removals_held_ms(0) {
+                 removals_held_ms(0),
+                 confirmed_ms_ago(0) {
   }
 
   virtual ~FactsNoticeT() noexcept;
@@ -876,6 +882,7 @@
   std::vector<RouteChangeT>  routes;
   LimitsChangeT limits;
   int64_t removals_held_ms;
+  int64_t confirmed_ms_ago;
 
   _FactsNoticeT__isset __isset;
 
@@ -895,6 +902,8 @@
 
   void __set_removals_held_ms(const int64_t val);
 
+  void __set_confirmed_ms_ago(const int64_t val);
+
   bool operator == (const FactsNoticeT & rhs) const
   {
     if (!(root == rhs.root))
@@ -919,6 +928,10 @@
       return false;
     else if (__isset.removals_held_ms && !(removals_held_ms == rhs.removals_held_ms))
       return false;
+    if (__isset.confirmed_ms_ago != rhs.__isset.confirmed_ms_ago)
+      return false;
+    else if (__isset.confirmed_ms_ago && !(confirmed_ms_ago == rhs.confirmed_ms_ago))
+      return false;
     return true;
   }
   bool operator != (const FactsNoticeT &rhs) const {
@@ -937,33 +950,117 @@
 
 std::ostream& operator<<(std::ostream& out, const FactsNoticeT& obj);
 
+typedef struct _FleetVmT__isset {
+  _FleetVmT__isset() : vm(false), control(false), failure_domain(false) {}
+  bool vm :1;
+  bool control :1;
+  bool failure_domain :1;
+} _FleetVmT__isset;
+
+class FleetVmT : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetVmT(const FleetVmT&);
+  FleetVmT(FleetVmT&&) noexcept;
+  FleetVmT& operator=(const FleetVmT&);
+  FleetVmT& operator=(FleetVmT&&) noexcept;
+  FleetVmT() noexcept
+           : vm(0),
+             failure_domain() {
+  }
+
+  virtual ~FleetVmT() noexcept;
+  int64_t vm;
+  FleetEndpointT control;
+  std::string failure_domain;
+
+  _FleetVmT__isset __isset;
+
+  void __set_vm(const int64_t val);
+
+  void __set_control(const FleetEndpointT& val);
+
+  void __set_failure_domain(const std::string& val);
+
+  bool operator == (const FleetVmT & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(control == rhs.control))
+      return false;
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetVmT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetVmT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetVmT &a, FleetVmT &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetVmT& obj);
+
 typedef struct _FactsRequestT__isset {
-  _FactsRequestT__isset() : after(false) {}
+  _FactsRequestT__isset() : after(false), confirmed_only(false), requester(false), may_wait(false) {}
   bool after :1;
+  bool confirmed_only :1;
+  bool requester :1;
+  bool may_wait :1;
 } _FactsRequestT__isset;
 
 class FactsRequestT : public virtual ::apache::thrift::TBase {
  public:
 
-  FactsRequestT(const FactsRequestT&) noexcept;
+  FactsRequestT(const FactsRequestT&);
   FactsRequestT(FactsRequestT&&) noexcept;
-  FactsRequestT& operator=(const FactsRequestT&) noexcept;
+  FactsRequestT& operator=(const FactsRequestT&);
   FactsRequestT& operator=(FactsRequestT&&) noexcept;
   FactsRequestT() noexcept
-                : after(0) {
+                : after(0),
+                  confirmed_only(0),
+                  may_wait(0) {
   }
 
   virtual ~FactsRequestT() noexcept;
   int64_t after;
+  bool confirmed_only;
+  FleetVmT requester;
+  bool may_wait;
 
   _FactsRequestT__isset __isset;
 
   void __set_after(const int64_t val);
 
+  void __set_confirmed_only(const bool val);
+
+  void __set_requester(const FleetVmT& val);
+
+  void __set_may_wait(const bool val);
+
   bool operator == (const FactsRequestT & rhs) const
   {
     if (!(after == rhs.after))
       return false;
+    if (__isset.confirmed_only != rhs.__isset.confirmed_only)
+      return false;
+    else if (__isset.confirmed_only && !(confirmed_only == rhs.confirmed_only))
+      return false;
+    if (__isset.requester != rhs.__isset.requester)
+      return false;
+    else if (__isset.requester && !(requester == rhs.requester))
+      return false;
+    if (__isset.may_wait != rhs.__isset.may_wait)
+      return false;
+    else if (__isset.may_wait && !(may_wait == rhs.may_wait))
+      return false;
     return true;
   }
   bool operator != (const FactsRequestT &rhs) const {
@@ -982,6 +1079,67 @@
 
 std::ostream& operator<<(std::ostream& out, const FactsRequestT& obj);
 
+typedef struct _FactsReferralT__isset {
+  _FactsReferralT__isset() : peer(false), sender(false), may_wait(false) {}
+  bool peer :1;
+  bool sender :1;
+  bool may_wait :1;
+} _FactsReferralT__isset;
+
+class FactsReferralT : public virtual ::apache::thrift::TBase {
+ public:
+
+  FactsReferralT(const FactsReferralT&);
+  FactsReferralT(FactsReferralT&&) noexcept;
+  FactsReferralT& operator=(const FactsReferralT&);
+  FactsReferralT& operator=(FactsReferralT&&) noexcept;
+  FactsReferralT() noexcept
+                 : may_wait(0) {
+  }
+
+  virtual ~FactsReferralT() noexcept;
+  FleetEndpointT peer;
+  FleetVmT sender;
+  bool may_wait;
+
+  _FactsReferralT__isset __isset;
+
+  void __set_peer(const FleetEndpointT& val);
+
+  void __set_sender(const FleetVmT& val);
+
+  void __set_may_wait(const bool val);
+
+  bool operator == (const FactsReferralT & rhs) const
+  {
+    if (__isset.peer != rhs.__isset.peer)
+      return false;
+    else if (__isset.peer && !(peer == rhs.peer))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (__isset.may_wait != rhs.__isset.may_wait)
+      return false;
+    else if (__isset.may_wait && !(may_wait == rhs.may_wait))
+      return false;
+    return true;
+  }
+  bool operator != (const FactsReferralT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FactsReferralT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FactsReferralT &a, FactsReferralT &b);
+
+std::ostream& operator<<(std::ostream& out, const FactsReferralT& obj);
+
 typedef struct _WatchLeaseT__isset {
   _WatchLeaseT__isset() : root(false), watching(false), facts(false), watcher(false) {}
   bool root :1;
@@ -1099,13 +1257,14 @@
 std::ostream& operator<<(std::ostream& out, const SuspicionNoticeT& obj);
 
 typedef struct _FleetBodyT__isset {
-  _FleetBodyT__isset() : gossip(false), facts_notice(false), facts_request(false), watch_lease(false), suspicion_notice(false), load_notice(false) {}
+  _FleetBodyT__isset() : gossip(false), facts_notice(false), facts_request(false), watch_lease(false), suspicion_notice(false), load_notice(false), facts_referral(false) {}
   bool gossip :1;
   bool facts_notice :1;
   bool facts_request :1;
   bool watch_lease :1;
   bool suspicion_notice :1;
   bool load_notice :1;
+  bool facts_referral :1;
 } _FleetBodyT__isset;
 
 class FleetBodyT : public virtual ::apache::thrift::TBase {
@@ -1125,6 +1284,7 @@
   WatchLeaseT watch_lease;
   SuspicionNoticeT suspicion_notice;
   LoadNoticeT load_notice;
+  FactsReferralT facts_referral;
 
   _FleetBodyT__isset __isset;
 
@@ -1140,6 +1300,8 @@
 
   void __set_load_notice(const LoadNoticeT& val);
 
+  void __set_facts_referral(const FactsReferralT& val);
+
   bool operator == (const FleetBodyT & rhs) const
   {
     if (__isset.gossip != rhs.__isset.gossip)
@@ -1166,6 +1328,10 @@
       return false;
     else if (__isset.load_notice && !(load_notice == rhs.load_notice))
       return false;
+    if (__isset.facts_referral != rhs.__isset.facts_referral)
+      return false;
+    else if (__isset.facts_referral && !(facts_referral == rhs.facts_referral))
+      return false;
     return true;
   }
   bool operator != (const FleetBodyT &rhs) const {
--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -16,6 +16,7 @@
 
 constexpr Duration kStreamTimeout{5'000};
 constexpr size_t kLengthPrefixBytes = 4;
+constexpr int kMaxPortAttempts = 16;
 
 // Reads a length-prefixed message. Returns an empty string on errors and if the
 // message is too long.
@@ -35,12 +36,20 @@
 
 absl::StatusOr<std::unique_ptr<PeerTransport>> PeerTransport::Open(
     Reactor& reactor, const Endpoint& endpoint) {
-  auto udp = BindUdp(endpoint, {.nonblocking = true});
-  if (!udp.ok()) return udp.status();
-  auto tcp = ListenTcp(LocalEndpoint(*udp));
-  if (!tcp.ok()) return tcp.status();
-  return std::unique_ptr<PeerTransport>(
-      new PeerTransport(reactor, *std::move(udp), *std::move(tcp)));
+  // The kernel may choose a UDP port whose TCP port is in use.
+  const int attempts = endpoint.port == 0 ? kMaxPortAttempts : 1;
+  absl::Status status;
+  for (int i = 0; i < attempts; ++i) {
+    auto udp = BindUdp(endpoint, {.nonblocking = true});
+    if (!udp.ok()) return udp.status();
+    auto tcp = ListenTcp(LocalEndpoint(*udp));
+    if (tcp.ok()) {
+      return std::unique_ptr<PeerTransport>(
+          new PeerTransport(reactor, *std::move(udp), *std::move(tcp)));
+    }
+    status = tcp.status();
+  }
+  return status;
 }
 
 void PeerTransport::ReceiveDatagrams(const MessageHandler& handler) {
@@ -69,14 +78,20 @@
   }
 }
 
-void PeerTransport::Send(const Endpoint& to, const std::string& bytes) {
-  if (bytes.size() > kMaxDatagramMessageBytes) {
-    boost::fibers::fiber([this, to, bytes] { SendStream(to, bytes); }).detach();
+void PeerTransport::Send(const Endpoint& to,
+                         std::shared_ptr<const std::string> bytes) {
+  if (bytes->size() > kMaxDatagramMessageBytes) {
+    ++open_streams_;
+    boost::fibers::fiber([this, to, bytes = std::move(bytes)] {
+      SendStream(to, *bytes);
+      --open_streams_;
+      handle_stream_end_();
+    }).detach();
     return;
   }
   const SocketAddress address = ToSocketAddress(to);
   // A datagram for which the socket buffer has no room is lost.
-  sendto(udp_.value(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+  sendto(udp_.value(), bytes->data(), bytes->size(), MSG_DONTWAIT,
          reinterpret_cast<const sockaddr*>(&address.storage), address.size);
 }
 
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -30,7 +30,15 @@
 
   // Sends without blocking the caller; large messages are sent by a new fiber.
   // Errors count as loss and are not reported.
-  void Send(const Endpoint& to, const std::string& bytes);
+  void Send(const Endpoint& to, std::shared_ptr<const std::string> bytes);
+
+  // Number of large messages that are being sent.
+  size_t open_streams() const { return open_streams_; }
+
+  // Sets the function that is called after each large message, sent or lost.
+  void OnStreamEnd(std::function<void()> handler) {
+    handle_stream_end_ = std::move(handler);
+  }
 
  private:
   PeerTransport(Reactor& reactor, FileDescriptor udp, FileDescriptor tcp)
@@ -41,6 +49,8 @@
   Reactor& reactor_;
   FileDescriptor udp_;
   FileDescriptor tcp_;
+  size_t open_streams_ = 0;
+  std::function<void()> handle_stream_end_ = [] {};
 };
 
 // Messages up to this size are sent as datagrams. They fit the MTU of all
--- a/servers/marks/fleet_messenger.cc
+++ b/servers/marks/fleet_messenger.cc
@@ -1,5 +1,6 @@
 #include "servers/marks/fleet_messenger.h"
 
+#include "core/fleet/first_facts.h"
 #include "drivers/clock.h"
 #include "drivers/fleet_codec.h"
 
@@ -28,6 +29,7 @@
   auto transport = PeerTransport::Open(reactor_, control);
   if (!transport.ok()) return transport.status();
   transport_ = *std::move(transport);
+  transport_->OnStreamEnd([this] { SendWaitingSnapshots(); });
   const Endpoint bound = transport_->endpoint();
   state_ =
       StartFleet({.id = VmIdOf(bound), .control = bound, .domain = domain},
@@ -47,6 +49,7 @@
 
 void FleetMessenger::Tick(TimePoint now) {
   FleetOutbox out;
+  state_.snapshots_in_flight = transport_->open_streams();
   TickFleet(state_, registry_, now, out);
   Send(out);
 }
@@ -75,6 +78,13 @@
   Send(out);
 }
 
+void FleetMessenger::SendWaitingSnapshots() {
+  FleetOutbox out;
+  state_.snapshots_in_flight = transport_->open_streams();
+  knapweedlift::SendWaitingSnapshots(state_, registry_, out);
+  Send(out);
+}
+
 void FleetMessenger::HandleMessage(const std::string& bytes,
                                    const UpdateHandler& handle_update) {
   received_bytes_ += bytes.size();
@@ -85,6 +95,7 @@
     return;
   }
   FleetOutbox out;
+  state_.snapshots_in_flight = transport_->open_streams();
   const FleetMessageResult update = HandleFleetMessage(
       state_, registry_, message->sender, message->message, now, out);
   Send(out);
@@ -94,11 +105,12 @@
 void FleetMessenger::Send(const FleetOutbox& out) {
   const TimePoint now = Now();
   for (const FleetEnvelope& envelope : out) {
-    const std::string bytes = EncodeFleetMessage({.deployment = deployment_,
-                                                  .sender = state_.self.id,
-                                                  .message = envelope.message},
-                                                 now);
-    sent_bytes_ += bytes.size() * envelope.recipients.size();
+    const auto bytes = std::make_shared<const std::string>(
+        EncodeFleetMessage({.deployment = deployment_,
+                            .sender = state_.self.id,
+                            .message = envelope.message},
+                           now));
+    sent_bytes_ += bytes->size() * envelope.recipients.size();
     for (const Endpoint& to : envelope.recipients) transport_->Send(to, bytes);
   }
 }
--- a/servers/marks/fleet_messenger.h
+++ b/servers/marks/fleet_messenger.h
@@ -43,6 +43,9 @@
   void SendFacts(Revision before);
   void SendSuspicions(const std::vector<Mark>& marks);
 
+  // Sends snapshots to VMs that wait for them, as far as the limits allow.
+  void SendWaitingSnapshots();
+
   // Bound address for messages from peers.
   Endpoint endpoint() const { return transport_->endpoint(); }
 
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
+#include "core/fleet/first_facts.h"
 #include "core/fleet/watcher_election.h"
 #include "core/result_code.h"
 #include "drivers/clock.h"
@@ -25,6 +26,9 @@
 // Unreadable entries logged for one answer; the rest are counted.
 constexpr size_t kMaxLoggedEntryErrors = 5;
 
+// Short against the time-out of a request for first facts.
+constexpr Duration kFirstFactsPollPeriod{10};
+
 constexpr char kPlatformAnswers[] = "answers";
 
 bool IsHistoryGone(const absl::Status& status) {
@@ -66,10 +70,14 @@
   running_ = true;
   next_catch_up_at_ = Now() + kCatchUpInterval;
   bool first_read = registry_.as_of == 0;
-  if (!first_read) {
+  if (first_read) {
+    WaitForFirstFacts();
+  } else {
     LogInfo("watch_started", {{"revision", registry_.as_of}});
   }
-  while (!stopping_) {
+  const bool facts_came_from_peer = first_read && registry_.as_of != 0;
+  if (facts_came_from_peer) LogInfo("facts_from_peer", {});
+  while (!stopping_ && !facts_came_from_peer) {
     const absl::Status status = Poll();
     if (stopping_) break;
     UpdateStatus(status);
@@ -83,6 +91,14 @@
   LogInfo("watch_ended", {{"revision", registry_.as_of}});
 }
 
+void PlatformWatcher::WaitForFirstFacts() {
+  while (!stopping_ && registry_.as_of == 0 &&
+         !ShouldReadPlatform(messenger_.state(), registry_, Now())) {
+    messenger_.Tick(Now());
+    boost::this_fiber::sleep_for(kFirstFactsPollPeriod);
+  }
+}
+
 absl::Status PlatformWatcher::Poll() {
   auto changes = FetchChanges();
   if (changes.ok()) ApplyChanges(*changes);
--- a/servers/marks/platform_watcher.h
+++ b/servers/marks/platform_watcher.h
@@ -47,6 +47,8 @@
   const LogHistogram& call_ms() const { return call_ms_; }
 
  private:
+  // Returns once a peer has sent the first facts or the platform is to be read.
+  void WaitForFirstFacts();
   absl::Status Poll();
   absl::StatusOr<SourceUpdate> FetchChanges();
   void ApplyChanges(const SourceUpdate& changes);
--- a/servers/tables/daemon.cc
+++ b/servers/tables/daemon.cc
@@ -166,7 +166,9 @@
     const auto found = control_.members.find(message->to);
     if (found == control_.members.end()) continue;
     const Endpoint& to = found->second.address.control;
-    if (to.port != 0) transport_->Send(to, message->bytes);
+    if (to.port != 0) {
+      transport_->Send(to, std::make_shared<const std::string>(message->bytes));
+    }
   }
 }
 
