Count bytes of whole notices in known_suspicion_publishes_no_view

Cause: the test waited for 200 received bytes where 200 messages were meant, and could count the published views before the first one (KNOWN-RED 6). It now waits for 200 times the encoded size of the notice.

--- a/tests/lab/marks/testbed_test.cc
+++ b/tests/lab/marks/testbed_test.cc
@@ -156,12 +156,16 @@
   const uint64_t before = views();
   const std::string facts_before = publish_delay_count();
   constexpr size_t kNotices = 200;
+  const SuspicionNotice notice{.root = 99, .marks = {mark}};
+  const size_t notice_bytes =
+      EncodeFleetMessage({.deployment = 1, .sender = 99, .message = notice},
+                         Now())
+          .size();
   const uint64_t received_before = received();
-  for (size_t i = 0; i < kNotices; ++i) {
-    SendAsPeer(vm.control(), SuspicionNotice{.root = 99, .marks = {mark}});
-  }
+  for (size_t i = 0; i < kNotices; ++i) SendAsPeer(vm.control(), notice);
   cr_assert(deployment.testbed.RunUntil(
-      [&] { return received() > received_before + kNotices; }, kTimeout));
+      [&] { return received() >= received_before + kNotices * notice_bytes; },
+      kTimeout));
   // The server becomes suspected, and may be cleared before the last notice.
   cr_expect(views() <= before + kNotices / 20, "%lu views", views() - before);
   cr_expect(views() > before, "the first notice published no view");
