Read the first page of the store while no seed answers

Change: a VM without a reply for 20 ms reads the store's first page, which is all of a small store; it reads the rest only with leave of a seed or after its requests went unanswered. FactSource::ReadAll takes a number of pages. The watcher's Run is split into first facts and watch. Connections to peers without power are given up after 1.5 s, and a VM whose settings lose all seeds reads the store (it divided by their number).

--- a/core/fleet/first_facts.cc
+++ b/core/fleet/first_facts.cc
@@ -1,7 +1,6 @@
 #include "core/fleet/first_facts.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace knapweedlift {
 namespace {
@@ -69,12 +68,12 @@
 }
 
 void SendReferral(const FleetState& state, const Endpoint& to,
-                  std::optional<Endpoint> peer, bool may_wait,
+                  const std::optional<Endpoint>& peer, bool may_wait,
                   FleetOutbox& out) {
-  out.push_back({{to},
-                 FactsReferral{.sender = state.self,
-                               .peer = std::move(peer),
-                               .may_wait = may_wait}});
+  out.push_back(
+      {{to},
+       FactsReferral{
+           .sender = state.self, .peer = peer, .may_wait = may_wait}});
 }
 
 // Lets the requester wait for a snapshot, which may follow at once, or refers
@@ -117,26 +116,31 @@
   const bool reads_at_once = IsSeed(state) || others.empty();
   state.first_facts.platform_read_at = reads_at_once ? now : TimePoint::max();
   state.first_facts.next_request_at = reads_at_once ? TimePoint::max() : now;
+  state.first_facts.first_page_at = now + kFirstPageDelay;
 }
 
 void RequestFirstFacts(FleetState& state, const Registry& registry,
                        TimePoint now, FleetOutbox& out) {
   FirstFactsState& first = state.first_facts;
   if (registry.as_of != 0 || now < first.next_request_at) return;
-  if (first.requests == kMaxUnansweredFactsRequests) {
+  const auto seed = NextSeed(state);
+  const bool exhausted = first.requests == kMaxUnansweredFactsRequests;
+  if (exhausted || !seed.has_value()) {
     first.next_request_at = TimePoint::max();
     first.platform_read_at = now + RandomPart(state, kPlatformReadSpread);
     return;
   }
-  const size_t index = (state.self.id + first.requests++) % state.seeds.size();
-  SendSnapshotRequest(state, state.seeds[index], false, now, out);
+  ++first.requests;
+  SendSnapshotRequest(state, *seed, false, now, out);
   // Seeds that the whole fleet asks at once answer the requests first.
   state.next_seed_at = std::max(state.next_seed_at, now + kMinSeedBackoff);
 }
 
-bool ShouldReadPlatform(const FleetState& state, const Registry& registry,
-                        TimePoint now) {
-  return registry.as_of == 0 && now >= state.first_facts.platform_read_at;
+size_t PagesToRead(const FleetState& state, bool first_page_read,
+                   TimePoint now) {
+  const FirstFactsState& first = state.first_facts;
+  if (now >= first.platform_read_at) return kAllPages;
+  return !first_page_read && now >= first.first_page_at ? 1 : 0;
 }
 
 void HandleSnapshotRequest(FleetState& state, const Registry& registry,
@@ -182,6 +186,7 @@
     return;
   }
   first.next_request_at = TimePoint::max();
+  first.first_page_at = TimePoint::max();
   first.platform_read_at =
       now + kSnapshotWait + RandomPart(state, kSnapshotWaitSpread);
 }
--- a/core/fleet/first_facts.h
+++ b/core/fleet/first_facts.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLIFT_CORE_FLEET_FIRST_FACTS_H_
 
 #include "core/fleet/fleet.h"
+#include "core/registry/fact_source.h"
 
 // How a VM without facts gets its first ones, and how snapshots are shared out.
 // It requests a snapshot from a seed. A VM with confirmed facts sends one or
@@ -15,6 +16,9 @@
 // after twice as long as the one before.
 inline constexpr Duration kFirstFactsRequestTimeout{25};
 inline constexpr size_t kMaxUnansweredFactsRequests = 3;
+// A VM without any reply for this time reads the platform's first page: the
+// seeds may start later than it does.
+inline constexpr Duration kFirstPageDelay{20};
 // Referrals that a starting VM follows before it reads the platform itself.
 inline constexpr size_t kMaxFactsReferrals = 8;
 // Spreads the reads of VMs that reach no seed.
@@ -42,9 +46,11 @@
 void RequestFirstFacts(FleetState& state, const Registry& registry,
                        TimePoint now, FleetOutbox& out);
 
-// True if this VM has no facts yet and should read the platform itself.
-bool ShouldReadPlatform(const FleetState& state, const Registry& registry,
-                        TimePoint now);
+// Number of pages that a VM without facts should read of the platform now. A VM
+// that no seed has answered reads one page; that is all of a small platform.
+// `first_page_read` is true if it has read that page and more follow.
+size_t PagesToRead(const FleetState& state, bool first_page_read,
+                   TimePoint now);
 
 // Sends `requester` a snapshot, lets it wait for one, or refers it to another
 // VM or to the platform.
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -18,7 +18,9 @@
   // Requests to seeds, and referrals that were followed.
   size_t requests = 0;
   size_t referrals = 0;
-  // From then on a VM without facts reads the platform itself.
+  // From then on a VM without facts reads the platform's first page.
+  TimePoint first_page_at;
+  // From then on it reads all of the platform.
   TimePoint platform_read_at;
   // VMs that wait for a snapshot of this VM, in the order of their requests.
   std::vector<Endpoint> waiting;
--- a/core/registry/fact_source.h
+++ b/core/registry/fact_source.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLIFT_CORE_REGISTRY_FACT_SOURCE_H_
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
   Revision as_of = 0;
   // The update holds all entries; those that it lacks are removed.
   bool is_snapshot = false;
+  // More pages follow. The update is empty, and the next read continues.
+  bool is_partial = false;
   std::vector<ServerChange> servers;
   std::optional<ConfigChange> config;
   // One line for each entry that could not be parsed.
@@ -34,15 +37,19 @@
   auto operator<=>(const SourceUpdate&) const = default;
 };
 
+// For reads that are not limited to a number of pages.
+inline constexpr size_t kAllPages = SIZE_MAX;
+
 // Source of facts. Calls suspend the calling fiber; only one call may be in
 // progress at a time.
 class FactSource {
  public:
   virtual ~FactSource() = default;
 
-  // Reads a snapshot of all entries. Fails with kPlatformUnreachable,
-  // kPlatformAnswer or kPlatformRefused.
-  virtual absl::StatusOr<SourceUpdate> ReadAll(TimePoint now) = 0;
+  // Reads a snapshot of all entries, at most `max_pages` of it in this call.
+  // Fails with kPlatformUnreachable, kPlatformAnswer or kPlatformRefused.
+  virtual absl::StatusOr<SourceUpdate> ReadAll(size_t max_pages,
+                                               TimePoint now) = 0;
 
   // Waits for changes after a revision, until `wait_until` at most; the update
   // may be empty. Fails as ReadAll does, and with kPlatformHistoryGone if the
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -241,6 +241,24 @@
   return notice;
 }
 
+FactsRequest FromWire(const gen::FactsRequestT& wire) {
+  FactsRequest request{
+      .after = Narrow<Revision>(wire.after),
+      .confirmed_only = wire.__isset.confirmed_only && wire.confirmed_only,
+      .may_wait = wire.__isset.may_wait && wire.may_wait};
+  if (wire.__isset.requester) request.requester = FromWire(wire.requester);
+  return request;
+}
+
+FactsReferral FromWire(const gen::FactsReferralT& wire) {
+  FactsReferral referral{.sender = FromWire(wire.sender),
+                         .may_wait = wire.__isset.may_wait && wire.may_wait};
+  if (wire.__isset.peer) {
+    referral.peer = FromWire(wire.peer);
+  }
+  return referral;
+}
+
 // Encodes a message of each type into its field of the union.
 struct BodyEncoder {
   gen::FleetBodyT& body;
@@ -332,22 +350,10 @@
   }
   if (body.__isset.facts_notice) return FromWire(body.facts_notice, now);
   if (body.__isset.facts_request) {
-    const gen::FactsRequestT& wire = body.facts_request;
-    FactsRequest request{
-        .after = Narrow<Revision>(wire.after),
-        .confirmed_only = wire.__isset.confirmed_only && wire.confirmed_only,
-        .may_wait = wire.__isset.may_wait && wire.may_wait};
-    if (wire.__isset.requester) request.requester = FromWire(wire.requester);
-    return request;
+    return FromWire(body.facts_request);
   }
   if (body.__isset.facts_referral) {
-    const gen::FactsReferralT& wire = body.facts_referral;
-    FactsReferral referral{.sender = FromWire(wire.sender),
-                           .may_wait = wire.__isset.may_wait && wire.may_wait};
-    if (wire.__isset.peer) {
-      referral.peer = FromWire(wire.peer);
-    }
-    return referral;
+    return FromWire(body.facts_referral);
   }
   if (body.__isset.watch_lease) {
     return WatchLease{.root = Narrow<VmId>(body.watch_lease.root),
--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr Duration kStreamTimeout{5'000};
+// A machine without power does not respond. Allows for the retransmit of a
+// lost SYN after one second.
+constexpr Duration kConnectTimeout{1'500};
 constexpr size_t kLengthPrefixBytes = 4;
 constexpr int kMaxPortAttempts = 16;
 
@@ -96,8 +99,9 @@
 }
 
 void PeerTransport::SendStream(const Endpoint& to, const std::string& bytes) {
-  auto stream = FiberStream::Connect(reactor_, to, Now() + kStreamTimeout);
+  auto stream = FiberStream::Connect(reactor_, to, Now() + kConnectTimeout);
   if (!stream.ok()) return;
+  stream->set_deadline(Now() + kStreamTimeout);
   std::array<uint8_t, kLengthPrefixBytes> length{};
   WriteU32(length, 0, static_cast<uint32_t>(bytes.size()));
   boost::system::error_code error;
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -69,31 +69,48 @@
 void PlatformWatcher::Run() {
   running_ = true;
   next_catch_up_at_ = Now() + kCatchUpInterval;
-  bool first_read = registry_.as_of == 0;
-  if (first_read) {
-    WaitForFirstFacts();
-  } else {
+  if (registry_.as_of != 0) {
     LogInfo("watch_started", {{"revision", registry_.as_of}});
-  }
-  const bool facts_came_from_peer = first_read && registry_.as_of != 0;
-  if (facts_came_from_peer) LogInfo("facts_from_peer", {});
-  while (!stopping_ && !facts_came_from_peer) {
-    const absl::Status status = Poll();
-    if (stopping_) break;
-    UpdateStatus(status);
-    first_read = registry_.as_of == 0;
-    if (!first_read && !ShouldWatch(messenger_.state(), Now())) break;
-    boost::this_fiber::sleep_for(status.ok() ? kMinWatchInterval : backoff_);
-    if (!first_read && !ShouldWatch(messenger_.state(), Now())) break;
+    Watch();
+  } else if (ReadFirstFacts()) {
+    Watch();
   }
   messenger_.SetWatching(false);
   running_ = false;
   LogInfo("watch_ended", {{"revision", registry_.as_of}});
 }
 
+bool PlatformWatcher::ReadFirstFacts() {
+  while (!stopping_) {
+    WaitForFirstFacts();
+    if (stopping_) return false;
+    if (registry_.as_of != 0) {
+      LogInfo("facts_from_peer", {});
+      return false;
+    }
+    const absl::Status status = Poll();
+    if (stopping_) return false;
+    if (read_is_partial_) continue;
+    UpdateStatus(status);
+    if (registry_.as_of != 0) return ShouldWatch(messenger_.state(), Now());
+    boost::this_fiber::sleep_for(backoff_);
+  }
+  return false;
+}
+
+void PlatformWatcher::Watch() {
+  do {
+    const absl::Status status = Poll();
+    if (stopping_) return;
+    UpdateStatus(status);
+    if (!ShouldWatch(messenger_.state(), Now())) return;
+    boost::this_fiber::sleep_for(status.ok() ? kMinWatchInterval : backoff_);
+  } while (!stopping_ && ShouldWatch(messenger_.state(), Now()));
+}
+
 void PlatformWatcher::WaitForFirstFacts() {
   while (!stopping_ && registry_.as_of == 0 &&
-         !ShouldReadPlatform(messenger_.state(), registry_, Now())) {
+         PagesToRead(messenger_.state(), read_is_partial_, Now()) == 0) {
     messenger_.Tick(Now());
     boost::this_fiber::sleep_for(kFirstFactsPollPeriod);
   }
@@ -101,14 +118,18 @@
 
 absl::Status PlatformWatcher::Poll() {
   auto changes = FetchChanges();
-  if (changes.ok()) ApplyChanges(*changes);
+  read_is_partial_ = changes.ok() && changes->is_partial;
+  if (changes.ok() && !read_is_partial_) ApplyChanges(*changes);
   return changes.status();
 }
 
 absl::StatusOr<SourceUpdate> PlatformWatcher::FetchChanges() {
   ++call_count_;
   const TimePoint now = Now();
-  if (registry_.as_of == 0) return source_.ReadAll(now);
+  if (registry_.as_of == 0) {
+    return source_.ReadAll(
+        PagesToRead(messenger_.state(), read_is_partial_, now), now);
+  }
   // The first call of a watch returns at once and shows whether the platform
   // answers this VM.
   const Duration wait =
@@ -117,7 +138,7 @@
   if (IsHistoryGone(changes.status())) {
     LogInfo("history_gone", {{"revision", registry_.as_of}});
     ++call_count_;
-    changes = source_.ReadAll(Now());
+    changes = source_.ReadAll(kAllPages, Now());
   }
   if (wait == Duration(0)) {
     call_ms_.Add(static_cast<double>((Now() - now).count()));
--- a/servers/marks/platform_watcher.h
+++ b/servers/marks/platform_watcher.h
@@ -47,8 +47,13 @@
   const LogHistogram& call_ms() const { return call_ms_; }
 
  private:
+  // Gets the first facts from the platform or from a peer. Returns true if this
+  // VM read them and has to go on watching.
+  bool ReadFirstFacts();
   // Returns once a peer has sent the first facts or the platform is to be read.
   void WaitForFirstFacts();
+  // Polls the platform until this VM no longer has to.
+  void Watch();
   absl::Status Poll();
   absl::StatusOr<SourceUpdate> FetchChanges();
   void ApplyChanges(const SourceUpdate& changes);
@@ -61,6 +66,8 @@
   RemovalHold removal_hold_;
   bool running_ = false;
   bool stopping_ = false;
+  // The last complete read stopped before its last page.
+  bool read_is_partial_ = false;
   Duration backoff_{0};
   TimePoint next_catch_up_at_;
   std::string platform_status_ = "not asked";
--- a/tests/core/first_facts_test.cc
+++ b/tests/core/first_facts_test.cc
@@ -30,6 +30,7 @@
     Registry registry;
     bool running = true;
     bool reading = false;
+    bool first_page_read = false;
     TimePoint read_ends_at;
     TimePoint link_free_at;
     TimePoint has_facts_at = TimePoint::max();
@@ -100,7 +101,11 @@
   Vm& vm(size_t index) { return vms_[index]; }
   std::vector<Vm>& vms() { return vms_; }
   TimePoint now() const { return now_; }
+  // Complete reads, and reads that ended after the first of several pages.
   size_t platform_reads() const { return platform_reads_; }
+  size_t first_page_reads() const { return first_page_reads_; }
+  // The platform's entries fill several pages unless set otherwise.
+  void set_platform_is_large(bool large) { platform_is_large_ = large; }
 
  private:
   static Endpoint ControlOf(size_t index) {
@@ -129,7 +134,14 @@
 
   void ReadPlatform(size_t index) {
     Vm& vm = vms_[index];
-    if (vm.reading || !ShouldReadPlatform(vm.fleet, vm.registry, now_)) return;
+    if (vm.reading || vm.registry.as_of != 0) return;
+    const size_t pages = PagesToRead(vm.fleet, vm.first_page_read, now_);
+    if (pages == 0) return;
+    if (pages == 1 && platform_is_large_) {
+      vm.first_page_read = true;
+      ++first_page_reads_;
+      return;
+    }
     vm.reading = true;
     ++platform_reads_;
     events_.emplace(now_ + kPlatformRead, [this, index] {
@@ -206,6 +218,8 @@
   std::multimap<TimePoint, std::function<void()>> events_;
   std::map<size_t, size_t> streams_;
   size_t platform_reads_ = 0;
+  size_t first_page_reads_ = 0;
+  bool platform_is_large_ = true;
 };
 
 }  // namespace
@@ -320,10 +334,10 @@
 Test(first_facts, a_seed_reads_the_platform_without_asking) {
   FleetState state = StartFleet({.id = 1, .control = Address(1), .domain = "a"},
                                 {Address(1), Address(2)}, 1, At(0));
-  cr_expect(ShouldReadPlatform(state, Registry{}, At(0)));
+  cr_expect(PagesToRead(state, false, At(0)) == kAllPages);
   state = StartFleet({.id = 3, .control = Address(3), .domain = "a"},
                      {Address(1), Address(2)}, 1, At(0));
-  cr_expect(!ShouldReadPlatform(state, Registry{}, At(0)));
+  cr_expect(PagesToRead(state, false, At(0)) == 0);
 }
 
 // The load: most VMs of a running fleet are killed and start at the same time.
@@ -339,3 +353,26 @@
   cr_expect(fleet.RecoveryTime(start) <= Duration(1'400), "%lld ms",
             static_cast<long long>(fleet.RecoveryTime(start).count()));
 }
+
+Test(first_facts, a_vm_that_loses_its_seeds_reads_the_platform) {
+  FleetState state = StartFleet({.id = 3, .control = Address(3), .domain = "a"},
+                                {Address(1)}, 1, At(0));
+  // A changed settings file may name no seeds.
+  state.seeds.clear();
+  FleetOutbox out;
+  TickFleet(state, Registry{}, At(10), out);
+  cr_expect(PagesToRead(state, true, At(10) + kPlatformReadSpread) ==
+            kAllPages);
+}
+
+// The load: a small fleet loses power, and its seeds start last.
+Test(first_facts, vms_that_start_before_the_seeds_read_a_small_platform) {
+  StartingFleet fleet(18, 3);
+  fleet.set_platform_is_large(false);
+  for (size_t i = 0; i < 3; ++i) fleet.vm(i).running = false;
+  const TimePoint start = fleet.now();
+  fleet.Run(Duration(1'000));
+  cr_expect(fleet.platform_reads() == 15);
+  cr_expect(fleet.RecoveryTime(start) <=
+            kPlatformRead + kFirstPageDelay + 2 * kTickPeriod);
+}
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -71,7 +71,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  const auto news = client.ReadAll(Now());
+  const auto news = client.ReadAll(kAllPages, Now());
   cr_assert(news.ok());
   cr_expect(news->is_snapshot);
   cr_expect(news->as_of == 5,
@@ -100,17 +100,38 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_assert(!client.ReadAll(Now()).ok());
-  const auto update = client.ReadAll(Now());
+  cr_assert(!client.ReadAll(kAllPages, Now()).ok());
+  const auto update = client.ReadAll(kAllPages, Now());
   cr_assert(update.ok());
   cr_expect(update->servers.size() == 2);
   cr_expect(update->as_of == 5);
   cr_expect(store.targets().size() == 3, "no page is read twice");
   // A later read starts anew.
-  cr_assert(client.ReadAll(Now()).ok());
+  cr_assert(client.ReadAll(kAllPages, Now()).ok());
   cr_expect(store.targets().size() == 5);
 }
 
+Test(store_client, a_read_of_one_page_can_be_continued) {
+  FakeStore store([](const std::string& target) {
+    const bool first = target.find("after=") == std::string::npos;
+    return HttpResponse{
+        .body = first ? R"({"items": [{"key": "servers/i-1", "value": "",
+                                       "rev": 1}],
+                            "hasMore": true, "asOf": 5})"
+                      : R"({"items": [], "hasMore": false, "asOf": 8})"};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  const auto first = client.ReadAll(1, Now());
+  cr_assert(first.ok());
+  cr_expect(first->is_partial);
+  cr_expect(first->servers.empty());
+  const auto complete = client.ReadAll(1, Now());
+  cr_assert(complete.ok());
+  cr_expect(!complete->is_partial);
+  cr_expect(complete->servers.size() == 1);
+}
+
 Test(store_client, a_page_that_took_too_long_gets_more_time) {
   FakeStore store([](const std::string& /*target*/) {
     boost::this_fiber::sleep_for(kMinPageTimeout + Duration(200));
@@ -119,8 +140,8 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(!client.ReadAll(Now()).ok());
-  cr_expect(client.ReadAll(Now()).ok());
+  cr_expect(!client.ReadAll(kAllPages, Now()).ok());
+  cr_expect(client.ReadAll(kAllPages, Now()).ok());
 }
 
 Test(store_client, continues_after_a_key_with_special_characters) {
@@ -134,7 +155,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_assert(client.ReadAll(Now()).ok());
+  cr_assert(client.ReadAll(kAllPages, Now()).ok());
   cr_assert(store.targets().size() == 2);
   cr_expect(store.targets()[1].find("after=a%20b%26c%3D%25%C3%A9") !=
             std::string::npos);
@@ -149,7 +170,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(CodeOf(client.ReadAll(Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformAnswer));
 }
 
@@ -190,7 +211,7 @@
   FakeStore store([](const std::string&) { return HttpResponse{.body = "{"}; });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(CodeOf(client.ReadAll(Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformAnswer));
 }
 
@@ -214,7 +235,7 @@
   }
   Reactor reactor;
   StoreClient client(reactor, unreachable);
-  cr_expect(CodeOf(client.ReadAll(Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformUnreachable));
 }
 
