--- a/core/fleet/first_facts.cc
+++ b/core/fleet/first_facts.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/first_facts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedlift {
 namespace {
@@ -24,47 +25,61 @@
                               .may_wait = may_wait}});
 }
 
-// A live serving VM of the failure domain, chosen at random among those other
-// than this VM and `requester`.
-std::optional<Endpoint> PickServingVm(FleetState& state,
+// Other live serving VMs of the failure domain.
+std::vector<Endpoint> OtherServingVms(const FleetState& state,
                                       const std::string& domain, VmId requester,
                                       TimePoint now) {
-  std::vector<Endpoint> candidates;
+  std::vector<Endpoint> serving;
   for (const auto& [id, member] : state.members) {
     const bool suitable = id != state.self.id && id != requester &&
                           member.address.domain == domain &&
                           member.heartbeat.phase == MemberPhase::kServing &&
                           now < member.suspect_after;
-    if (suitable) candidates.push_back(member.address.control);
+    if (suitable) serving.push_back(member.address.control);
   }
-  if (candidates.empty()) return {};
-  return candidates[state.random() % candidates.size()];
+  return serving;
 }
 
-// The VM that a VM with facts refers the requester to; nothing if it serves the
-// requester itself.
+// The VM that a VM with facts refers the requester to: any one of the
+// requester's failure domain, so that seeds send no more snapshots than others.
+// Nothing if this VM serves the requester itself.
 std::optional<Endpoint> ReferralOfServingVm(FleetState& state,
                                             const VmAddress& requester,
                                             TimePoint now) {
+  const std::vector<Endpoint> others =
+      OtherServingVms(state, requester.domain, requester.id, now);
+  if (others.empty()) return {};
   const bool busy = state.snapshots_in_flight >= kMaxSnapshotStreams;
   const bool same_domain = requester.domain == state.self.domain;
-  if (same_domain && !busy) return {};
-  return PickServingVm(state, requester.domain, requester.id, now);
+  // A VM that was chosen at random serves the request, unless it is busy.
+  const bool may_serve = same_domain && !busy;
+  const bool serves = may_serve && (!IsSeed(state) ||
+                                    state.random() % (others.size() + 1) == 0);
+  if (serves) return {};
+  return others[state.random() % others.size()];
 }
 
 // The VM that a VM without facts refers the requester to: in turn, the VMs that
-// it knows to be waiting for facts or reading the platform.
-std::optional<Endpoint> ReferralOfStartingVm(FirstFactsState& first) {
-  const size_t count = first.platform_readers.size() + first.waiting.size();
-  if (count == 0) return {};
-  const size_t index = first.next_referral++ % count;
-  return index < first.platform_readers.size()
-             ? first.platform_readers[index]
-             : first.waiting[index - first.platform_readers.size()];
+// it knows to be waiting for facts or reading the platform, those of the
+// requester's failure domain first.
+std::optional<Endpoint> ReferralOfStartingVm(FirstFactsState& first,
+                                             const VmAddress& requester) {
+  std::vector<Endpoint> same_domain;
+  std::vector<Endpoint> all;
+  for (const auto* list : {&first.platform_readers, &first.waiting}) {
+    for (const VmAddress& vm : *list) {
+      if (vm.domain == requester.domain) same_domain.push_back(vm.control);
+      all.push_back(vm.control);
+    }
+  }
+  const std::vector<Endpoint>& candidates =
+      same_domain.empty() ? all : same_domain;
+  if (candidates.empty()) return {};
+  return candidates[first.next_referral++ % candidates.size()];
 }
 
-bool Contains(const std::vector<Endpoint>& list, const Endpoint& endpoint) {
-  return std::find(list.begin(), list.end(), endpoint) != list.end();
+bool Contains(const std::vector<VmAddress>& list, const VmAddress& vm) {
+  return std::find(list.begin(), list.end(), vm) != list.end();
 }
 
 void SendReferral(const FleetState& state, const Endpoint& to,
@@ -78,34 +93,35 @@
 
 // Lets the requester wait for a snapshot, which may follow at once, or refers
 // it to another VM if too many wait.
-void EnqueueOrRefer(FleetState& state, const Endpoint& requester,
+void EnqueueOrRefer(FleetState& state, const VmAddress& requester,
                     FleetOutbox& out) {
   FirstFactsState& first = state.first_facts;
   const bool known = Contains(first.waiting, requester);
   if (known || first.waiting.size() < kMaxWaitingVms) {
     if (!known) first.waiting.push_back(requester);
-    SendReferral(state, requester, state.self.control, false, out);
+    SendReferral(state, requester.control, state.self.control, false, out);
     return;
   }
-  SendReferral(state, requester, ReferralOfStartingVm(first), true, out);
+  SendReferral(state, requester.control, ReferralOfStartingVm(first, requester),
+               true, out);
 }
 
 // A seed without facts lets some VMs read the platform beside itself. Another
 // VM without facts sends a requester that may not wait here back to a seed.
-void HandleRequestWithoutFacts(FleetState& state, const Endpoint& requester,
+void HandleRequestWithoutFacts(FleetState& state, const VmAddress& requester,
                                bool may_wait, FleetOutbox& out) {
   if (!IsSeed(state)) {
     if (may_wait) return EnqueueOrRefer(state, requester, out);
-    SendReferral(state, requester, NextSeed(state), false, out);
+    SendReferral(state, requester.control, NextSeed(state), false, out);
     return;
   }
-  std::vector<Endpoint>& readers = state.first_facts.platform_readers;
+  std::vector<VmAddress>& readers = state.first_facts.platform_readers;
   const bool granted = Contains(readers, requester);
   if (!granted && readers.size() >= kMaxGrantedPlatformReads) {
     return EnqueueOrRefer(state, requester, out);
   }
   if (!granted) readers.push_back(requester);
-  SendReferral(state, requester, {}, false, out);
+  SendReferral(state, requester.control, {}, false, out);
 }
 
 }  // namespace
@@ -149,7 +165,7 @@
                            FleetOutbox& out) {
   const Endpoint& to = requester.control;
   if (registry.as_of == 0) {
-    HandleRequestWithoutFacts(state, to, request.may_wait, out);
+    HandleRequestWithoutFacts(state, requester, request.may_wait, out);
     return;
   }
   if (request.confirmed_only && !FactsAreConfirmed(state, now)) {
@@ -161,7 +177,7 @@
     SendReferral(state, to, peer, false, out);
     return;
   }
-  EnqueueOrRefer(state, to, out);
+  EnqueueOrRefer(state, requester, out);
   SendWaitingSnapshots(state, registry, out);
 }
 
@@ -193,16 +209,18 @@
 
 void SendWaitingSnapshots(FleetState& state, const Registry& registry,
                           FleetOutbox& out) {
-  std::vector<Endpoint>& waiting = state.first_facts.waiting;
+  std::vector<VmAddress>& waiting = state.first_facts.waiting;
   if (registry.as_of == 0 || waiting.empty()) return;
   if (state.snapshots_in_flight >= kMaxSnapshotStreams) return;
   const size_t count =
       std::min(waiting.size(), kMaxSnapshotStreams - state.snapshots_in_flight);
-  const auto end = waiting.begin() + static_cast<ptrdiff_t>(count);
-  out.push_back({{waiting.begin(), end},
-                 FactsNotice{.delta = DeltaSince(registry, 0),
-                             .confirmed_at = state.confirmed_at}});
-  waiting.erase(waiting.begin(), end);
+  std::vector<Endpoint> recipients;
+  for (size_t i = 0; i < count; ++i) recipients.push_back(waiting[i].control);
+  waiting.erase(waiting.begin(),
+                waiting.begin() + static_cast<ptrdiff_t>(count));
+  out.push_back(
+      {std::move(recipients), FactsNotice{.delta = DeltaSince(registry, 0),
+                                          .confirmed_at = state.confirmed_at}});
   state.snapshots_in_flight += count;
 }
 
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -23,9 +23,9 @@
   // From then on it reads all of the platform.
   TimePoint platform_read_at;
   // VMs that wait for a snapshot of this VM, in the order of their requests.
-  std::vector<Endpoint> waiting;
+  std::vector<VmAddress> waiting;
   // VMs that this VM has told to read the platform.
-  std::vector<Endpoint> platform_readers;
+  std::vector<VmAddress> platform_readers;
   size_t next_referral = 0;
 };
 
--- a/tests/core/first_facts_test.cc
+++ b/tests/core/first_facts_test.cc
@@ -61,21 +61,20 @@
                               vm.fleet.incarnation + 1'000, now_)};
   }
 
-  // Gives all VMs confirmed facts and lets them know each other.
-  void FinishStart() {
-    Run(kMaxRecoveryTime);
+  // Lets all VMs confirm their facts and hear of each other.
+  void KeepAlive() {
     for (Vm& vm : vms_) {
-      vm.fleet.confirmed_at = now_;
+      if (vm.registry.as_of != 0) vm.fleet.confirmed_at = now_;
       for (const Vm& other : vms_) {
-        MergeHeartbeat(vm.fleet.members,
-                       {.vm = other.fleet.self.id,
-                        .incarnation = other.fleet.incarnation,
-                        .count = other.fleet.heartbeat,
-                        .phase = MemberPhase::kServing},
-                       now_);
-        UpdateAddress(vm.fleet.members, other.fleet.self);
+        if (other.registry.as_of != 0) Introduce(other, vm);
       }
     }
+  }
+
+  // Gives all VMs confirmed facts and lets them know each other.
+  void FinishStart() {
+    Run(kMaxRecoveryTime);
+    KeepAlive();
     platform_reads_ = 0;
     for (Vm& vm : vms_) vm.snapshots_sent = vm.remote_snapshots_sent = 0;
   }
@@ -108,6 +107,17 @@
   void set_platform_is_large(bool large) { platform_is_large_ = large; }
 
  private:
+  void Introduce(const Vm& vm, Vm& to) {
+    MergeHeartbeat(to.fleet.members,
+                   {.vm = vm.fleet.self.id,
+                    .incarnation = vm.fleet.incarnation,
+                    .count = vm.fleet.heartbeat,
+                    .phase = MemberPhase::kServing},
+                   now_);
+    UpdateAddress(to.fleet.members, vm.fleet.self);
+    RenewLease(to.fleet.members[vm.fleet.self.id], now_);
+  }
+
   static Endpoint ControlOf(size_t index) {
     const uint8_t bytes[] = {10, 0, static_cast<uint8_t>(index / 250),
                              static_cast<uint8_t>(index % 250 + 1)};
@@ -376,3 +386,19 @@
   cr_expect(fleet.RecoveryTime(start) <=
             kPlatformRead + kFirstPageDelay + 2 * kTickPeriod);
 }
+
+// The load: 195 VMs of a running fleet stop and start one after the other.
+Test(first_facts, seeds_send_no_more_snapshots_than_other_vms) {
+  StartingFleet fleet(195, 5);
+  fleet.FinishStart();
+  size_t sent_by_seeds = 0;
+  for (size_t i = 3; i < 195; ++i) {
+    fleet.Restart(i);
+    fleet.Run(Duration(20));
+    fleet.KeepAlive();
+  }
+  fleet.Run(Duration(1'000));
+  for (size_t i = 0; i < 3; ++i) sent_by_seeds += fleet.vm(i).snapshots_sent;
+  cr_expect(fleet.platform_reads() == 0);
+  cr_expect(sent_by_seeds <= 3 * kMaxSnapshotStreams, "%zu", sent_by_seeds);
+}
