Give waiting VMs no facts that are not confirmed

A server that had left could so be in use again after a restart. Change: a VM whose facts are not confirmed tells such waiting VMs to read the store. Test: first_facts/waiting_vms_get_no_unconfirmed_facts, which fails without the change. A VM that has read the store serves the VMs that wait for it at once, not at its next tick.

--- a/core/fleet/first_facts.cc
+++ b/core/fleet/first_facts.cc
@@ -66,22 +66,18 @@
                                              const VmAddress& requester) {
   std::vector<Endpoint> same_domain;
   std::vector<Endpoint> all;
-  for (const auto* list : {&first.platform_readers, &first.waiting}) {
-    for (const VmAddress& vm : *list) {
-      if (vm.domain == requester.domain) same_domain.push_back(vm.control);
-      all.push_back(vm.control);
-    }
-  }
+  const auto add = [&](const VmAddress& vm) {
+    if (vm.domain == requester.domain) same_domain.push_back(vm.control);
+    all.push_back(vm.control);
+  };
+  for (const VmAddress& vm : first.platform_readers) add(vm);
+  for (const WaitingVm& vm : first.waiting) add(vm.address);
   const std::vector<Endpoint>& candidates =
       same_domain.empty() ? all : same_domain;
   if (candidates.empty()) return {};
   return candidates[first.next_referral++ % candidates.size()];
 }
 
-bool Contains(const std::vector<VmAddress>& list, const VmAddress& vm) {
-  return std::find(list.begin(), list.end(), vm) != list.end();
-}
-
 void SendReferral(const FleetState& state, const Endpoint& to,
                   const std::optional<Endpoint>& peer, bool may_wait,
                   FleetOutbox& out) {
@@ -94,11 +90,14 @@
 // Lets the requester wait for a snapshot, which may follow at once, or refers
 // it to another VM if too many wait.
 void EnqueueOrRefer(FleetState& state, const VmAddress& requester,
-                    FleetOutbox& out) {
+                    bool confirmed_only, FleetOutbox& out) {
   FirstFactsState& first = state.first_facts;
-  const bool known = Contains(first.waiting, requester);
-  if (known || first.waiting.size() < kMaxWaitingVms) {
-    if (!known) first.waiting.push_back(requester);
+  std::erase_if(first.waiting, [&requester](const WaitingVm& vm) {
+    return vm.address == requester;
+  });
+  if (first.waiting.size() < kMaxWaitingVms) {
+    first.waiting.push_back(
+        {.address = requester, .confirmed_only = confirmed_only});
     SendReferral(state, requester.control, state.self.control, false, out);
     return;
   }
@@ -106,19 +105,33 @@
                true, out);
 }
 
+// Tells the waiting VMs that want confirmed facts to read the platform.
+void SendWaitingVmsToPlatform(FleetState& state, FleetOutbox& out) {
+  std::vector<WaitingVm>& waiting = state.first_facts.waiting;
+  for (const WaitingVm& vm : waiting) {
+    if (vm.confirmed_only) {
+      SendReferral(state, vm.address.control, {}, false, out);
+    }
+  }
+  std::erase_if(waiting, [](const WaitingVm& vm) { return vm.confirmed_only; });
+}
+
 // A seed without facts lets some VMs read the platform beside itself. Another
 // VM without facts sends a requester that may not wait here back to a seed.
 void HandleRequestWithoutFacts(FleetState& state, const VmAddress& requester,
-                               bool may_wait, FleetOutbox& out) {
-  if (!IsSeed(state)) {
-    if (may_wait) return EnqueueOrRefer(state, requester, out);
+                               const FactsRequest& request, FleetOutbox& out) {
+  if (!IsSeed(state) && !request.may_wait) {
     SendReferral(state, requester.control, NextSeed(state), false, out);
     return;
   }
   std::vector<VmAddress>& readers = state.first_facts.platform_readers;
-  const bool granted = Contains(readers, requester);
-  if (!granted && readers.size() >= kMaxGrantedPlatformReads) {
-    return EnqueueOrRefer(state, requester, out);
+  const bool granted =
+      std::find(readers.begin(), readers.end(), requester) != readers.end();
+  const bool may_grant =
+      IsSeed(state) && readers.size() < kMaxGrantedPlatformReads;
+  if (!granted && !may_grant) {
+    EnqueueOrRefer(state, requester, request.confirmed_only, out);
+    return;
   }
   if (!granted) readers.push_back(requester);
   SendReferral(state, requester.control, {}, false, out);
@@ -165,7 +178,7 @@
                            FleetOutbox& out) {
   const Endpoint& to = requester.control;
   if (registry.as_of == 0) {
-    HandleRequestWithoutFacts(state, requester, request.may_wait, out);
+    HandleRequestWithoutFacts(state, requester, request, out);
     return;
   }
   if (request.confirmed_only && !FactsAreConfirmed(state, now)) {
@@ -177,8 +190,8 @@
     SendReferral(state, to, peer, false, out);
     return;
   }
-  EnqueueOrRefer(state, requester, out);
-  SendWaitingSnapshots(state, registry, out);
+  EnqueueOrRefer(state, requester, request.confirmed_only, out);
+  SendWaitingSnapshots(state, registry, now, out);
 }
 
 void HandleReferral(FleetState& state, const Registry& registry,
@@ -208,14 +221,18 @@
 }
 
 void SendWaitingSnapshots(FleetState& state, const Registry& registry,
-                          FleetOutbox& out) {
-  std::vector<VmAddress>& waiting = state.first_facts.waiting;
+                          TimePoint now, FleetOutbox& out) {
+  std::vector<WaitingVm>& waiting = state.first_facts.waiting;
   if (registry.as_of == 0 || waiting.empty()) return;
+  if (!FactsAreConfirmed(state, now)) SendWaitingVmsToPlatform(state, out);
   if (state.snapshots_in_flight >= kMaxSnapshotStreams) return;
   const size_t count =
       std::min(waiting.size(), kMaxSnapshotStreams - state.snapshots_in_flight);
+  if (count == 0) return;
   std::vector<Endpoint> recipients;
-  for (size_t i = 0; i < count; ++i) recipients.push_back(waiting[i].control);
+  for (size_t i = 0; i < count; ++i) {
+    recipients.push_back(waiting[i].address.control);
+  }
   waiting.erase(waiting.begin(),
                 waiting.begin() + static_cast<ptrdiff_t>(count));
   out.push_back(
--- a/core/fleet/first_facts.h
+++ b/core/fleet/first_facts.h
@@ -64,9 +64,11 @@
                     const Endpoint& from, const FactsReferral& referral,
                     TimePoint now, FleetOutbox& out);
 
-// Sends snapshots to waiting VMs, as far as kMaxSnapshotStreams allows.
+// Sends snapshots to waiting VMs, as far as kMaxSnapshotStreams allows. If this
+// VM's facts are not confirmed, VMs that want confirmed ones are told to read
+// the platform.
 void SendWaitingSnapshots(FleetState& state, const Registry& registry,
-                          FleetOutbox& out);
+                          TimePoint now, FleetOutbox& out);
 
 }  // namespace knapweedlift
 
--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -214,7 +214,7 @@
   if (result != MergeResult::kMerged) return {};
   state.lagging_since = TimePoint::max();
   state.confirmed_at = std::max(state.confirmed_at, notice.confirmed_at);
-  SendWaitingSnapshots(state, registry, out);
+  SendWaitingSnapshots(state, registry, now, out);
   if (notice.root != kNoVm) ForwardNotice(state, notice, out);
   return {.facts_changed = true};
 }
@@ -360,7 +360,7 @@
                FleetOutbox& out) {
   RequestFirstFacts(state, registry, now, out);
   SendDueGossip(state, registry, now, out);
-  SendWaitingSnapshots(state, registry, out);
+  SendWaitingSnapshots(state, registry, now, out);
   SendDueLoadNotice(state, now, out);
   SendDueSnapshotRequest(state, registry, now, out);
   if (state.watching && now >= state.next_lease_at) {
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -10,6 +10,15 @@
 
 namespace knapweedlift {
 
+// A VM that waits for a snapshot.
+struct WaitingVm {
+  VmAddress address;
+  // It reads the platform rather than use facts that are not confirmed.
+  bool confirmed_only = false;
+
+  auto operator<=>(const WaitingVm&) const = default;
+};
+
 // The state of a VM that gets its first facts, and of one that helps others to
 // theirs; core/fleet/first_facts.h.
 struct FirstFactsState {
@@ -23,7 +32,7 @@
   // From then on it reads all of the platform.
   TimePoint platform_read_at;
   // VMs that wait for a snapshot of this VM, in the order of their requests.
-  std::vector<VmAddress> waiting;
+  std::vector<WaitingVm> waiting;
   // VMs that this VM has told to read the platform.
   std::vector<VmAddress> platform_readers;
   size_t next_referral = 0;
--- a/servers/marks/fleet_messenger.cc
+++ b/servers/marks/fleet_messenger.cc
@@ -81,7 +81,7 @@
 void FleetMessenger::SendWaitingSnapshots() {
   FleetOutbox out;
   state_.snapshots_in_flight = transport_->open_streams();
-  knapweedlift::SendWaitingSnapshots(state_, registry_, out);
+  knapweedlift::SendWaitingSnapshots(state_, registry_, Now(), out);
   Send(out);
 }
 
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -92,7 +92,10 @@
     if (stopping_) return false;
     if (read_is_partial_) continue;
     UpdateStatus(status);
-    if (registry_.as_of != 0) return ShouldWatch(messenger_.state(), Now());
+    if (registry_.as_of != 0) {
+      messenger_.SendWaitingSnapshots();
+      return ShouldWatch(messenger_.state(), Now());
+    }
     boost::this_fiber::sleep_for(backoff_);
   }
   return false;
--- a/tests/core/first_facts_test.cc
+++ b/tests/core/first_facts_test.cc
@@ -161,7 +161,7 @@
       RecordConfirmation(vm.fleet, now_);
       StartServing(index);
       FleetOutbox out;
-      SendWaitingSnapshots(vm.fleet, vm.registry, out);
+      SendWaitingSnapshots(vm.fleet, vm.registry, now_, out);
       Send(index, out);
     });
   }
@@ -207,7 +207,7 @@
     Vm& sender = vms_[from];
     sender.fleet.snapshots_in_flight = --streams_[from];
     FleetOutbox out;
-    SendWaitingSnapshots(sender.fleet, sender.registry, out);
+    SendWaitingSnapshots(sender.fleet, sender.registry, now_, out);
     Send(from, out);
   }
 
@@ -402,3 +402,29 @@
   cr_expect(fleet.platform_reads() == 0);
   cr_expect(sent_by_seeds <= 3 * kMaxSnapshotStreams, "%zu", sent_by_seeds);
 }
+
+// A seed that the platform refuses gets old facts of a peer; the VMs that wait
+// for its snapshot may reach the platform.
+Test(first_facts, waiting_vms_get_no_unconfirmed_facts) {
+  FleetState seed = StartFleet({.id = 1, .control = Address(1), .domain = "a"},
+                               {Address(1), Address(2)}, 1, At(5'000));
+  Registry registry;
+  FleetOutbox out;
+  const auto request = [&](uint8_t id) {
+    const VmAddress vm{.id = id, .control = Address(id), .domain = "a"};
+    HandleFleetMessage(seed, registry, id,
+                       FactsRequest{.requester = vm, .confirmed_only = true},
+                       At(5'000), out);
+  };
+  for (uint8_t id = 10; id <= 10 + kMaxGrantedPlatformReads; ++id) request(id);
+  cr_assert(seed.first_facts.waiting.size() == 1);
+  out.clear();
+  FactsNotice old{.delta = SnapshotOf({Server(1)}), .confirmed_at = At(100)};
+  HandleFleetMessage(seed, registry, 10, old, At(5'100), out);
+  cr_assert(registry.as_of != 0);
+  cr_expect(seed.first_facts.waiting.empty());
+  cr_assert(out.size() == 1);
+  const auto* referral = std::get_if<FactsReferral>(&out[0].message);
+  cr_assert(referral != nullptr, "the waiting VM got old facts");
+  cr_expect(!referral->peer.has_value());
+}
