Follow a long first read by the changes since its first page

Change: if the first read took longer than 200 ms, one more call fetches the changes before the facts are confirmed.

--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -26,6 +26,9 @@
 // Unreadable entries logged for one answer; the rest are counted.
 constexpr size_t kMaxLoggedEntryErrors = 5;
 
+// The first entries of a read that took longer may have changed since, and a
+// further call fetches the changes.
+constexpr Duration kMaxUnconfirmedReadTime{200};
 // Short against the time-out of a request for first facts.
 constexpr Duration kFirstFactsPollPeriod{10};
 
@@ -81,6 +84,7 @@
 }
 
 bool PlatformWatcher::ReadFirstFacts() {
+  TimePoint read_started_at = TimePoint::max();
   while (!stopping_) {
     WaitForFirstFacts();
     if (stopping_) return false;
@@ -88,9 +92,14 @@
       LogInfo("facts_from_peer", {});
       return false;
     }
-    const absl::Status status = Poll();
+    read_started_at = std::min(read_started_at, Now());
+    absl::Status status = Poll();
     if (stopping_) return false;
     if (read_is_partial_) continue;
+    const bool took_long =
+        status.ok() && Now() - read_started_at > kMaxUnconfirmedReadTime;
+    if (took_long) status = Poll();
+    if (stopping_) return false;
     UpdateStatus(status);
     if (registry_.as_of != 0) {
       messenger_.SendWaitingSnapshots();
