--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -28,7 +28,7 @@
 
 // Two zones with two machines each, and three endpoints of each service a zone.
 void Deploy(World& world) {
-  for (const char* zone : {"antioquia-a", "antioquia-b"}) {
+  for (const char* zone : {"coimbra-a", "coimbra-b"}) {
     world.AddVm(zone);
     world.AddVm(zone);
     for (int i = 0; i < 3; ++i) {
@@ -62,7 +62,7 @@
   Deploy(world);
   world.RunUntil(kTrafficStart);
   if (!AllInRotation(world)) return CannotRun(world, "a machine is not ready");
-  for (const char* zone : {"antioquia-a", "antioquia-b"}) {
+  for (const char* zone : {"coimbra-a", "coimbra-b"}) {
     for (const Route& route : {kFirst, kSecond}) {
       world.AddTraffic({.route = route,
                         .zone = zone,
@@ -97,7 +97,7 @@
   Deploy(world);
   world.RunUntil(kTrafficStart);
   if (!AllInRotation(world)) return CannotRun(world, "a machine is not ready");
-  for (const char* zone : {"antioquia-a", "antioquia-b"}) {
+  for (const char* zone : {"coimbra-a", "coimbra-b"}) {
     world.AddTraffic(
         {.route = kFirst, .zone = zone, .lasting = 16, .pause = 150});
     world.AddTraffic(
@@ -149,17 +149,17 @@
 // later.
 int PlayUnreadOutput(World& world, bool trouble) {
   for (int i = 0; i < 3; ++i) {
-    world.AddVm("antioquia-a");
+    world.AddVm("coimbra-a");
     world.vms.back().output_is_read = !trouble || i == 0;
-    world.AddEndpoint("dele69a", "antioquia-a");
-    world.AddEndpoint("xano55b", "antioquia-a");
+    world.AddEndpoint("dele69a", "coimbra-a");
+    world.AddEndpoint("xano55b", "coimbra-a");
   }
   world.PutConfig(7, {kFirst, kSecond});
   world.StartVms();
   world.RunUntil(kTrafficStart);
   if (!AllInRotation(world)) return CannotRun(world, "a machine is not ready");
   for (const Route& route : {kFirst, kSecond}) {
-    world.AddTraffic({.route = route, .zone = "antioquia-a", .per_second = 40});
+    world.AddTraffic({.route = route, .zone = "coimbra-a", .per_second = 40});
   }
   world.RunUntil(45'000);
   const Ms acknowledged = world.PutConfig(8, {kFirst});
@@ -176,14 +176,16 @@
          FILE* record) {
   const char* setting = std::getenv("TROUBLE");
   const bool trouble = setting == nullptr || std::strcmp(setting, "0") != 0;
-  World world({.directory = directory,
-               .binary = "target/main/knapweedlift",
-               .settings_template = "deploy/vm.toml.template",
-               .record = record});
+  // Never destroyed, since the threads of the store use it to the end.
+  World& world = *new World({.directory = directory,
+                             .binary = "target/main/knapweedlift",
+                             .settings_template = "deploy/vm.toml.template",
+                             .record = record});
   int result = 2;
   if (name == "unreadable-entry") result = PlayUnreadableEntry(world, trouble);
   if (name == "entry-without-born") result = PlayEntryWithoutBorn(world, trouble);
   if (name == "unread-output") result = PlayUnreadOutput(world, trouble);
+  world.StopVms();
   if (world.altered > 0) {
     world.Note("altered packets or answers: " + std::to_string(world.altered));
   }
--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -151,7 +151,7 @@
   if (!store.Listen(net_ | (2 << 8) | 1, store_port_)) std::exit(2);
 }
 
-World::~World() {
+void World::StopVms() {
   for (Vm& vm : vms) {
     if (vm.pid > 0) kill(vm.pid, SIGKILL);
     if (vm.pid > 0) waitpid(vm.pid, nullptr, 0);
@@ -346,6 +346,9 @@
 void World::Beat(Endpoint& endpoint) {
   endpoint.next_beat = Now() + kHeartbeat;
   ++endpoint.sequence;
+  // An entry changes only when more than `sequence` changes.
+  if (endpoint.written_state == endpoint.state) return;
+  endpoint.written_state = endpoint.state;
   store.Put("servers/" + endpoint.id, Entry(endpoint, endpoint.born));
 }
 
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -74,6 +74,8 @@
   uint16_t port = 0;
   int64_t born = 0;
   std::string state = "ready";
+  // The state in the store.
+  std::string written_state;
   bool alive = true;
   bool beats = true;
   uint64_t sequence = 0;
@@ -155,7 +157,6 @@
 class World {
  public:
   explicit World(const Options& options);
-  ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
@@ -170,6 +171,8 @@
   static std::string Entry(const Endpoint& endpoint, int64_t born);
 
   void StartVms();
+  // Kills the processes and waits for their ends.
+  void StopVms();
   // Runs `action` once at that time.
   void At(Ms time, std::function<void()> action);
   void RunUntil(Ms end);
