--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread -o build/world standins/main.cc standins/world.cc standins/store.cc
+g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread -o build/world standins/*.cc
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -108,13 +108,15 @@
   if (trouble) {
     const Endpoint& endpoint = *world.endpoints.front();
     world.store.Put("servers/i-00c0ffee", World::Entry(endpoint, 0));
-    world.Note("another writer writes servers/i-00c0ffee without born, with "
-               "the address of " + endpoint.id);
+    world.Note(
+        "another writer writes servers/i-00c0ffee without born, with "
+        "the address of " +
+        endpoint.id);
   }
   world.RunUntil(40'000);
-  world.Note("open flows that the system reset before: " +
-             std::to_string(before) + ", in all: " +
-             std::to_string(world.resets_of_open_flows));
+  world.Note(
+      "open flows that the system reset before: " + std::to_string(before) +
+      ", in all: " + std::to_string(world.resets_of_open_flows));
   world.Note("flows that got no answer: " +
              std::to_string(world.unanswered_flows));
   int asked = 0;
@@ -137,11 +139,12 @@
     last = std::max(last, request.flow_syn_at);
   }
   world.Note("requests run with the dropped route, opened later than " +
-             std::to_string(kConfigApply) + " ms after the acknowledgement: " +
-             std::to_string(stale) +
-             (stale == 0 ? "" : ", the last one " +
-                                    std::to_string(last - acknowledged) +
-                                    " ms after it"));
+             std::to_string(kConfigApply) +
+             " ms after the acknowledgement: " + std::to_string(stale) +
+             (stale == 0
+                  ? ""
+                  : ", the last one " + std::to_string(last - acknowledged) +
+                        " ms after it"));
   return stale;
 }
 
@@ -172,8 +175,7 @@
   return stale > 0 ? 1 : 0;
 }
 
-int Play(const std::string& name, const std::string& directory,
-         FILE* record) {
+int Play(const std::string& name, const std::string& directory, FILE* record) {
   const char* setting = std::getenv("TROUBLE");
   const bool trouble = setting == nullptr || std::strcmp(setting, "0") != 0;
   // Never destroyed, since the threads of the store use it to the end.
@@ -183,7 +185,8 @@
                              .record = record});
   int result = 2;
   if (name == "unreadable-entry") result = PlayUnreadableEntry(world, trouble);
-  if (name == "entry-without-born") result = PlayEntryWithoutBorn(world, trouble);
+  if (name == "entry-without-born")
+    result = PlayEntryWithoutBorn(world, trouble);
   if (name == "unread-output") result = PlayUnreadOutput(world, trouble);
   world.StopVms();
   if (world.altered > 0) {
--- a/review/standins/packet.h
+++ b/review/standins/packet.h
@@ -81,7 +81,8 @@
 
 inline std::optional<Packet> Decode(const uint8_t* bytes, size_t size) {
   if (size < kHeaderBytes) return std::nullopt;
-  if (size != kHeaderBytes + LoadNumber<uint16_t>(bytes, 0)) return std::nullopt;
+  if (size != kHeaderBytes + LoadNumber<uint16_t>(bytes, 0))
+    return std::nullopt;
   Packet packet;
   packet.sum = LoadNumber<uint32_t>(bytes, 2);
   packet.flags = bytes[6];
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -144,7 +144,8 @@
       end = input.find("\r\n\r\n");
     }
     const size_t begin = input.find(' ') + 1;
-    const std::string target = input.substr(begin, input.find(' ', begin) - begin);
+    const std::string target =
+        input.substr(begin, input.find(' ', begin) - begin);
     input.erase(0, end + 4);
     int status = 200;
     const std::string body = Answer(target, status);
@@ -193,12 +194,11 @@
 
 std::string Store::Watch(const std::string& target, int& status) {
   const std::string prefix = Parameter(target, "prefix");
-  const uint64_t after = std::strtoull(Parameter(target, "after").c_str(),
-                                       nullptr, 10);
-  const auto deadline =
-      std::chrono::steady_clock::now() +
-      std::chrono::milliseconds(
-          std::strtoll(Parameter(target, "waitMs").c_str(), nullptr, 10));
+  const uint64_t after =
+      std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
+  const auto deadline = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(std::strtoll(
+                            Parameter(target, "waitMs").c_str(), nullptr, 10));
   std::unique_lock lock(mutex_);
   while (true) {
     if (after < dropped_) {
