--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -16,8 +16,8 @@
 constexpr Ms kTrafficStart = 3'000;
 constexpr Ms kConfigApply = 3'000;
 
-const Route kFirst{.host = "198.18.0.1", .port = 8443, .service = "dele69a"};
-const Route kSecond{.host = "198.18.0.2", .port = 443, .service = "xano55b"};
+const Route kFirst{.host = "127.250.0.1", .port = 8443, .service = "dele69a"};
+const Route kSecond{.host = "127.250.0.2", .port = 443, .service = "xano55b"};
 
 bool AllInRotation(const World& world) {
   for (const Vm& vm : world.vms) {
--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -107,10 +107,6 @@
   return endpoint;
 }
 
-void World::At(Ms time, std::function<void()> action) {
-  actions_.emplace_back(time, std::move(action));
-}
-
 void World::RunUntil(Ms end) {
   while (Now() < end) {
     std::vector<pollfd> polled;
@@ -121,13 +117,6 @@
       polled.push_back({endpoint->tcp, POLLIN, 0});
     }
     poll(polled.data(), polled.size(), 1);
-    for (size_t i = 0; i < actions_.size(); ++i) {
-      if (Now() < actions_[i].first) continue;
-      const auto action = std::move(actions_[i].second);
-      actions_.erase(actions_.begin() + static_cast<ptrdiff_t>(i));
-      --i;
-      action();
-    }
     for (size_t i = 0; i < clients_.size(); ++i) ReadClient(i);
     for (const auto& endpoint : endpoints) {
       ReadEndpoint(*endpoint);
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <cstdio>
-#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -173,8 +172,6 @@
   void StartVms();
   // Kills the processes and waits for their ends.
   void StopVms();
-  // Runs `action` once at that time.
-  void At(Ms time, std::function<void()> action);
   void RunUntil(Ms end);
   Ms Now() const;
 
@@ -232,7 +229,6 @@
   std::map<uint64_t, size_t> flow_index_;
   std::vector<Traffic> traffic_;
   std::vector<Ms> next_flow_at_;
-  std::vector<std::pair<Ms, std::function<void()>>> actions_;
 };
 
 }  // namespace review
