Reject a sheet with a number that is too large

Seen: check of a sheet with the number 1e999, or one of 400,000 digits, aborts (reported by the users). A daemon with bucket tables that gets such a sheet ends as well, again after each start. Cause: the parser of sheets caught nlohmann-json's parse_error, but such a number is reported as out_of_range, which left the fiber. Ruled out: the VM list, whose parser asked for no exceptions, and the daemon with marks, which uses RapidJSON. Change: sheets and VM lists share ParseJsonText, which turns both exceptions into a status. Tests: sheet/a_number_out_of_range_is_rejected and daemon/a_number_out_of_range_keeps_the_valid_sheet; before: failed ("number overflow parsing '1e999'") and crashed.

--- a/core/sheet/sheet_parser.cc
+++ b/core/sheet/sheet_parser.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "core/packet/inner_packet.h"
 #include "core/sheet/json_fields.h"
+#include "core/sheet/json_text.h"
 
 namespace knapweedlift {
 namespace {
@@ -33,14 +34,7 @@
                      " bytes; split the sheet into chunks of at most ",
                      kMaxChunkBytes));
   }
-  try {
-    return nlohmann::json::parse(text);
-  } catch (const nlohmann::json::parse_error& error) {
-    return MakeStatus(ResultCode::kSheetNotJson,
-                      absl::StrCat("syntax error at byte ", error.byte,
-                                   "; the sheet is truncated or corrupted, "
-                                   "export it again"));
-  }
+  return ParseJsonText(text, ResultCode::kSheetNotJson);
 }
 
 absl::StatusOr<BackendServer> ParseServer(const nlohmann::json& json,
--- a/core/sheet/vm_list.cc
+++ b/core/sheet/vm_list.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "core/sheet/json_fields.h"
+#include "core/sheet/json_text.h"
 
 namespace knapweedlift {
 namespace {
@@ -34,12 +35,9 @@
 }  // namespace
 
 absl::StatusOr<VmList> ParseVmList(const std::string& text) {
-  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-  if (json.is_discarded()) {
-    return MakeStatus(ResultCode::kPlatformAnswer,
-                      "the VM list is not valid JSON");
-  }
-  JsonFields fields(json, "vms");
+  const auto json = ParseJsonText(text, ResultCode::kPlatformAnswer);
+  if (!json.ok()) return json.status();
+  JsonFields fields(*json, "vms");
   VmList list;
   list.revision = fields.Integer("revision", 0, kMaxRevision);
   const nlohmann::json& vms = fields.Array("vms");
--- a/tests/core/sheet_test.cc
+++ b/tests/core/sheet_test.cc
@@ -146,3 +146,15 @@
   cr_expect(not ParseVmList("{\"revision\": 3, \"vms\": [{\"id\": 0}]}").ok());
   cr_expect(not ParseVmList("{\"revis").ok());
 }
+
+// Guards against an exception that ended the daemon and the command `check`.
+Test(sheet, a_number_out_of_range_is_rejected) {
+  for (const std::string& number : {std::string("1e999"), std::string("-1e999"),
+                                    std::string(400'000, '7')}) {
+    const std::string sheet = "{\"format\": " + number + "}";
+    cr_expect(CodeOfStatus(ParseSheet({sheet}).status()) == 401);
+    cr_expect(CodeOfStatus(SheetChunkCount(sheet).status()) == 401);
+    const std::string list = "{\"revision\": " + number + "}";
+    cr_expect(CodeOfStatus(ParseVmList(list).status()) == 511);
+  }
+}
--- a/tests/servers/tables/daemon_test.cc
+++ b/tests/servers/tables/daemon_test.cc
@@ -163,6 +163,19 @@
   daemon.WaitFor("sheet_revision", 7);
 }
 
+// Guards against an exception that ended the process.
+Test(daemon, a_number_out_of_range_keeps_the_valid_sheet) {
+  FakePlatform platform;
+  platform.SetSheet(SheetJson(5, 2).dump());
+  RunningDaemon daemon(platform.endpoint());
+  daemon.WaitFor("sheet_revision", 5);
+  platform.SetSheet(R"({"format": 1e999})");
+  WaitForCode(daemon, "401");
+  cr_expect(daemon.Status()["sheet_revision"] == 5);
+  platform.SetSheet(SheetJson(7, 2).dump());
+  daemon.WaitFor("sheet_revision", 7);
+}
+
 Test(daemon, a_syn_reaches_a_backend_server_under_its_vni) {
   const FileDescriptor server = *BindUdp(Loopback(), {});
   nlohmann::json sheet = SheetJson(1, 1);
