Limit the nesting of sheets and VM lists

Seen: check of a sheet with a field of 490,000 nested arrays ends with SIGSEGV; a daemon with bucket tables ends on 100,000 levels, again after each start. Cause: the error for a field of the wrong type quotes the value with nlohmann-json's dump, which recurses. Ruled out: parsing and destruction; the same brackets as the whole sheet are rejected by the code before. Change: ParseJsonText rejects text that is nested deeper than 64 levels, with the limit of JsonDocument. Tests: sheet/deeply_nested_text_is_rejected and daemon/deeply_nested_text_keeps_the_valid_sheet (both crashed before), sheet/text_may_be_nested_up_to_the_limit (failed before).

--- a/core/sheet/json_text.h
+++ b/core/sheet/json_text.h
@@ -10,7 +10,8 @@
 namespace knapweedlift {
 
 // Parses JSON that another program wrote. Fails with `code` if the text is not
-// valid JSON or holds a number that is too large. Throws no exception.
+// valid JSON, holds a number that is too large, or is nested deeper than
+// kMaxJsonDepth. Throws no exception.
 absl::StatusOr<nlohmann::json> ParseJsonText(const std::string& text,
                                              ResultCode code);
 
--- a/drivers/json_document.h
+++ b/drivers/json_document.h
@@ -9,11 +9,9 @@
 #include <string>
 #include <string_view>
 
-namespace knapweedlift {
+#include "core/json_limits.h"
 
-// Nesting of arrays and objects that is accepted. The parser recurses, and
-// fibers have small stacks.
-inline constexpr int kMaxJsonDepth = 64;
+namespace knapweedlift {
 
 // Parses JSON in place. Its values refer to the text that it owns and are valid
 // as long as the document.
--- a/tests/core/sheet_test.cc
+++ b/tests/core/sheet_test.cc
@@ -1,4 +1,6 @@
+#include "core/json_limits.h"
 #include "core/result_code.h"
+#include "core/sheet/json_text.h"
 #include "core/sheet/sheet_diff.h"
 #include "core/sheet/sheet_parser.h"
 #include "core/sheet/vm_list.h"
@@ -158,3 +160,38 @@
     cr_expect(CodeOfStatus(ParseVmList(list).status()) == 511);
   }
 }
+
+// Guards against the overflow of the stack by the text of an error message,
+// which quotes the value of a field.
+Test(sheet, deeply_nested_text_is_rejected) {
+  for (const auto& [opening, closing] :
+       {std::pair<std::string, std::string>{"[", "]"}, {"{\"a\":[", "]}"}}) {
+    const size_t depth = kMaxChunkBytes / 2 / opening.size() - 20;
+    std::string nested;
+    for (size_t i = 0; i < depth; ++i) nested += opening;
+    for (size_t i = 0; i < depth; ++i) nested += closing;
+    const std::string sheet = "{\"format\": " + nested + "}";
+    cr_assert(sheet.size() <= kMaxChunkBytes);
+    cr_expect(CodeOfStatus(ParseSheet({sheet}).status()) == 401);
+    cr_expect(CodeOfStatus(ParseSheet({nested}).status()) == 401);
+    const std::string list = "{\"revision\": " + nested + "}";
+    cr_expect(CodeOfStatus(ParseVmList(list).status()) == 511);
+  }
+}
+
+Test(sheet, text_may_be_nested_up_to_the_limit) {
+  const auto nested = [](size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+  };
+  cr_expect(
+      ParseJsonText(nested(kMaxJsonDepth), ResultCode::kSheetNotJson).ok());
+  cr_expect(
+      not ParseJsonText(nested(kMaxJsonDepth + 1), ResultCode::kSheetNotJson)
+              .ok());
+  // Values side by side are not nested.
+  std::string wide = "[";
+  for (int i = 0; i < 1'000; ++i) wide += "[{}],";
+  cr_expect(
+      ParseJsonText(wide + "0]", ResultCode::kSheetNotJson).value().size() ==
+      1'001);
+}
--- a/tests/servers/tables/daemon_test.cc
+++ b/tests/servers/tables/daemon_test.cc
@@ -176,6 +176,22 @@
   daemon.WaitFor("sheet_revision", 7);
 }
 
+// Guards against the overflow of a fiber's stack.
+Test(daemon, deeply_nested_text_keeps_the_valid_sheet) {
+  constexpr size_t kDepth = 100'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  FakePlatform platform;
+  platform.SetSheet(SheetJson(5, 2).dump());
+  RunningDaemon daemon(platform.endpoint());
+  daemon.WaitFor("sheet_revision", 5);
+  platform.SetSheet(R"({"format": )" + nested + "}");
+  WaitForCode(daemon, "401");
+  cr_expect(daemon.Status()["sheet_revision"] == 5);
+  platform.SetSheet(SheetJson(7, 2).dump());
+  daemon.WaitFor("sheet_revision", 7);
+}
+
 Test(daemon, a_syn_reaches_a_backend_server_under_its_vni) {
   const FileDescriptor server = *BindUdp(Loopback(), {});
   nlohmann::json sheet = SheetJson(1, 1);
