Limit the nesting of settings

Seen: a daemon that reloads a settings file with 150 lists inside each other, or a key of 5,000 parts, ends with SIGSEGV. Cause: the TOML parser recurses for lists up to 256 levels, and its tables are destroyed recursively; a reload runs on a fiber. At a start the same file is rejected, on the thread's stack. Change: the check of the text before the parser limits lists inside lists and the parts of a key. Test: settings/deeply_nested_text_is_rejected, on a fiber (crashed before).

--- a/main/settings_text.cc
+++ b/main/settings_text.cc
@@ -10,6 +10,12 @@
 namespace knapweedlift {
 namespace {
 
+// Settings consist of sections with lists of plain values. The parser and the
+// tables that it returns recurse for each list inside a list and each part of a
+// key, and a reload runs on a fiber, which has a small stack.
+constexpr int kMaxListDepth = 4;
+constexpr int kMaxKeyParts = 4;
+
 // Returns the position after the closing quote of the string that starts at
 // `begin`, or the size of the line if the string is not closed.
 size_t FindStringEnd(std::string_view line, size_t begin) {
@@ -88,6 +94,29 @@
   return line[start] == '[' ? std::string_view() : line.substr(start);
 }
 
+// Calls `visit` for each character outside of strings and comments.
+template <typename Visitor>
+void VisitUnquoted(std::string_view text, Visitor visit) {
+  size_t position = 0;
+  while (position < text.size() && text[position] != '#') {
+    if (text[position] == '"' || text[position] == '\'') {
+      position = FindStringEnd(text, position);
+      continue;
+    }
+    visit(text[position++]);
+  }
+}
+
+// Returns true if the key or the section name of the line has more than
+// kMaxKeyParts parts.
+bool HasLongKey(std::string_view line) {
+  const std::string_view key =
+      line.substr(0, line.size() - FindValuePart(line).size());
+  int parts = 1;
+  VisitUnquoted(key, [&parts](char byte) { parts += byte == '.' ? 1 : 0; });
+  return parts > kMaxKeyParts;
+}
+
 // Returns why a line must not be passed to the parser, or null.
 const char* FindLineError(std::string_view line) {
   // A string may start only at the start of a line or after one of these.
@@ -119,6 +148,7 @@
     if (byte == '{' || byte == '}') return "contains a brace outside a string";
   }
   if (quote != 0) return "contains a string without a closing quote";
+  if (HasLongKey(line)) return "contains a key of too many parts";
   if (!HasOnlySupportedValues(FindValuePart(line))) {
     return "contains a value that is not a string, number, boolean or list of "
            "these";
@@ -128,17 +158,37 @@
              : "is a section header without a valid name";
 }
 
+// Brackets that are open after some lines, and how many were at most.
+struct ListDepth {
+  int current = 0;
+  int max = 0;
+};
+
+ListDepth AddLine(ListDepth depth, std::string_view line) {
+  VisitUnquoted(line, [&depth](char byte) {
+    if (byte == '[') ++depth.current;
+    if (byte == ']') --depth.current;
+    depth.max = std::max(depth.max, depth.current);
+  });
+  return depth;
+}
+
 }  // namespace
 
 std::vector<std::string> ValidateSettingsText(const std::string& text,
                                               const std::string& source) {
   std::vector<std::string> errors;
   size_t line_number = 0;
+  ListDepth depth;
   std::istringstream lines(text);
   for (std::string line; std::getline(lines, line);) {
     ++line_number;
     if (line.ends_with('\r')) line.pop_back();
     const char* error = FindLineError(line);
+    depth = AddLine(depth, line);
+    if (error == nullptr && depth.max > kMaxListDepth) {
+      error = "is inside of too many lists";
+    }
     if (error == nullptr) continue;
     errors.push_back(absl::StrCat(source, ": line ", line_number, " ", error,
                                   "; correct it"));
--- a/tests/main/settings_test.cc
+++ b/tests/main/settings_test.cc
@@ -1,5 +1,7 @@
 #include "main/settings.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include "tests/support/properties.h"
 
 using namespace knapweedlift;
@@ -68,6 +70,25 @@
   }
 }
 
+// Guards against the overflow of a fiber's stack when settings are reloaded.
+Test(settings, deeply_nested_text_is_rejected) {
+  constexpr size_t kParts = 20'000;
+  std::string long_key = "a";
+  for (size_t i = 1; i < kParts; ++i) long_key += ".a";
+  std::string list_over_lines = "x = [\n";
+  for (size_t i = 0; i < 250; ++i) list_over_lines += "[\"a\",\n";
+  for (const std::string& text :
+       {"[vm]\nx = " + std::string(250, '[') + std::string(250, ']') + "\n",
+        list_over_lines + std::string(251, ']') + "\n", long_key + " = 1\n",
+        "[" + long_key + "]\nx = 1\n"}) {
+    bool accepted = true;
+    boost::fibers::fiber([&] {
+      accepted = ParseSettings(text, "vm.toml").errors.empty();
+    }).join();
+    cr_expect(not accepted, "%.20s", text.c_str());
+  }
+}
+
 // Found by fuzzing: the TOML parser fails assertions on malformed dates.
 Test(settings, values_are_strings_numbers_booleans_or_lists) {
   for (const char* value :
