Report a malformed response in the command status

Seen: status at the address of another program aborts. Cause: exceptions of nlohmann-json for malformed text or fields of another type left the command. Change: the command prints the problem and exits with 3, as when no daemon responds.

--- a/main/commands.cc
+++ b/main/commands.cc
@@ -270,9 +270,15 @@
     std::cout << answer->body;
     return kExitOk;
   }
-  const auto status = nlohmann::json::parse(answer->body);
-  const bool uses_marks = status.value("transport", "") == "marks";
-  uses_marks ? PrintMarkStatus(status) : PrintStatus(status);
+  try {
+    const auto status = nlohmann::json::parse(answer->body);
+    const bool uses_marks = status.value("transport", "") == "marks";
+    uses_marks ? PrintMarkStatus(status) : PrintStatus(status);
+  } catch (const nlohmann::json::exception& error) {
+    std::cerr << "the response is not the status of a daemon: " << error.what()
+              << "; check the address\n";
+    return kExitUnreachable;
+  }
   return kExitOk;
 }
 
