--- a/tests/lab/marks/testbed_test.cc
+++ b/tests/lab/marks/testbed_test.cc
@@ -258,19 +258,36 @@
 }
 
 // Guards against one entry of another writer ending every VM that reads it, in
-// a watch, in a complete read, or after a restart.
+// a watch, in a complete read or after a restart, or keeping VMs from following
+// later changes.
 Test(marks_testbed, serves_on_beside_an_unreadable_entry, .timeout = 120) {
+  const std::string digits(400'000, '7');
+  const auto entry = [](const std::string& port, const std::string& number) {
+    return R"({"service": "atelier", "address": "127.3.0.99:)" + port +
+           R"(", "zone": "coimbra-a", "slots": 2, "state": "ready",
+              "coldLeftMs": )" +
+           number +
+           R"(, "version": "v1", "sequence": 1, "born": 1700000000000})";
+  };
   Deployment deployment(3);
-  const std::string prefix = platform::names::kServersPrefix;
-  deployment.testbed.store().Put(prefix + "i-ff", std::string(20'000, '['));
-  deployment.testbed.PutConfig(2);
-  cr_assert(deployment.testbed.RunUntil(
-      [&] { return deployment.AllReport("config_version", 2); }, kTimeout));
-  deployment.vms[2].reset();
-  deployment.StartVm(2);
-  cr_assert(deployment.testbed.RunUntil(
-      [&] { return deployment.AllReport("phase", "serving"); }, kTimeout));
-  cr_expect(deployment.vms[2]->Status()["servers"].size() == 6);
+  uint64_t version = 1;
+  for (const std::string& value :
+       {std::string(20'000, '['), entry("70000", "0"), entry("-1", "0"),
+        entry("8080", "1e999"), entry("8080", digits),
+        entry("8080", "0.00000000001e-2147483639") + "}"}) {
+    deployment.testbed.store().Put(
+        std::string(platform::names::kServersPrefix) + "i-ff", value);
+    deployment.testbed.PutConfig(++version);
+    cr_assert(deployment.testbed.RunUntil(
+        [&] { return deployment.AllReport("config_version", version); },
+        kTimeout));
+    deployment.vms[2].reset();
+    deployment.StartVm(2);
+    cr_assert(deployment.testbed.RunUntil(
+        [&] { return deployment.AllReport("phase", "serving"); }, kTimeout));
+    cr_expect(deployment.vms[2]->Status()["servers"].size() == 6, "%.60s",
+              value.c_str());
+  }
 }
 
 Test(marks_testbed, one_vm_watches_the_store_for_all, .timeout = 120) {
