Apply changes of routes only to the configuration they start from

Cause: a VM that skipped the version in between leaves the unchanged route out of the changes for its peers; one that had the version in between merges them, raises its revision and keeps the route. Ruled out: the loss of the store's history is not needed.

--- a/core/fleet/catch_up.cc
+++ b/core/fleet/catch_up.cc
@@ -3,18 +3,12 @@
 #include <algorithm>
 
 namespace knapweedlift {
-namespace {
 
-// Records that a peer has changes that it can send only as a snapshot. The
-// snapshot is requested only if the platform does not provide the changes
-// within kSnapshotRequestDelay.
 void RecordLag(FleetState& state, const Endpoint& peer, TimePoint now) {
   state.lagging_since = std::min(state.lagging_since, now);
   state.catch_up_peer = peer;
 }
 
-}  // namespace
-
 void RequestFacts(FleetState& state, const Registry& registry,
                   const Endpoint& from, TimePoint now, FleetOutbox& out) {
   if (now < state.next_facts_request_at) return;
--- a/core/fleet/catch_up.h
+++ b/core/fleet/catch_up.h
@@ -6,6 +6,11 @@
 // Requests for changes of facts that this VM missed.
 namespace knapweedlift {
 
+// Records that a peer has changes that it cannot send as single ones. The
+// platform is asked first; a snapshot is requested only if it does not provide
+// the changes within kSnapshotRequestDelay.
+void RecordLag(FleetState& state, const Endpoint& peer, TimePoint now);
+
 // Requests the changes after this VM's revision from a peer, at most once in
 // kFactsRequestInterval.
 void RequestFacts(FleetState& state, const Registry& registry,
--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -211,6 +211,7 @@
   if (result == MergeResult::kGap) {
     RequestFacts(state, registry, from, now, out);
   }
+  if (result == MergeResult::kOtherConfig) RecordLag(state, from, now);
   if (result != MergeResult::kMerged) return {};
   state.lagging_since = TimePoint::max();
   state.confirmed_at = std::max(state.confirmed_at, notice.confirmed_at);
@@ -223,9 +224,7 @@
                                  VmId sender, const Endpoint& from,
                                  const FactsRequest& request, TimePoint now,
                                  FleetOutbox& out) {
-  const bool needs_snapshot =
-      request.after == 0 || request.after < registry.horizon;
-  if (needs_snapshot) {
+  if (NeedsSnapshot(registry, request.after)) {
     HandleSnapshotRequest(state, registry, state.members.at(sender).address,
                           request, now, out);
     return {};
--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -111,6 +111,10 @@
   std::vector<ServerChange> servers;
   std::vector<RouteChange> routes;
   std::optional<LimitsChange> limits;
+  // Revision of the configuration that the changes of routes start from. They
+  // do not apply to another one, whose routes may have changed and changed
+  // back. Nothing in a snapshot.
+  std::optional<Revision> config_base;
   // Servers that the delta removes may be listed again until then, see
   // RemovalHold.
   TimePoint removals_held_until;
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -1,12 +1,18 @@
 #include "core/registry/registry.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 #include <set>
 #include <utility>
 
 namespace knapweedlift {
 namespace {
 
+// Bounds the memory for past configurations. A peer that lags further behind
+// gets a snapshot.
+constexpr size_t kMaxPastConfigs = 256;
+
 void SetRemoved(ServerRecord& record, Revision revision, const FactDelta& delta,
                 TimePoint now) {
   record.removed = true;
@@ -42,11 +48,19 @@
   }
 }
 
+bool HasNewConfig(const Registry& registry, const FactDelta& delta) {
+  return delta.limits.has_value() &&
+         delta.limits->revision > registry.limits.revision;
+}
+
 void MergeRoute(Registry& registry, const RouteChange& change,
                 const FactDelta& delta, TimePoint now) {
   const auto [found, added] = registry.routes.try_emplace(change.address);
   RouteRecord& record = found->second;
-  if (!added && change.revision <= record.revision) return;
+  // A route may have changed back after the change that this registry knows.
+  // Its revision in the snapshot is then the older one.
+  const bool replaces = delta.is_snapshot && HasNewConfig(registry, delta);
+  if (!added && !replaces && change.revision <= record.revision) return;
   ++registry.routes_version;
   if (!change.route.has_value()) {
     SetRemoved(record, change.revision, delta, now);
@@ -80,6 +94,33 @@
   ++registry.routes_version;
 }
 
+// Makes the configuration of the delta the present one.
+void MergeLimits(Registry& registry, const FactDelta& delta) {
+  if (!HasNewConfig(registry, delta)) return;
+  std::vector<PastConfig>& past = registry.past_configs;
+  past.push_back(
+      {.revision = registry.limits.revision, .known_until = registry.as_of});
+  if (past.size() > kMaxPastConfigs) {
+    past.erase(past.begin());
+    registry.horizon = std::max(registry.horizon, past.front().revision);
+  }
+  registry.limits = *delta.limits;
+}
+
+// Returns the revision of the configuration in force at revision `at`; nothing
+// if it is not known.
+std::optional<Revision> ConfigInForceAt(const Registry& registry, Revision at) {
+  if (at >= registry.limits.revision) return registry.limits.revision;
+  const auto& past = registry.past_configs;
+  const auto later = std::find_if(
+      past.begin(), past.end(),
+      [at](const PastConfig& config) { return config.revision > at; });
+  if (later == past.begin()) return {};
+  const PastConfig& config = *std::prev(later);
+  if (at > config.known_until) return {};
+  return config.revision;
+}
+
 Revision LastChange(const FactDelta& delta) {
   Revision last = 0;
   for (const ServerChange& change : delta.servers) {
@@ -99,19 +140,22 @@
   if (delta.as_of <= registry.as_of) return MergeResult::kUnchanged;
   if (!delta.is_snapshot && delta.after > registry.as_of)
     return MergeResult::kGap;
+  if (HasNewConfig(registry, delta) && delta.config_base.has_value() &&
+      *delta.config_base != registry.limits.revision) {
+    return MergeResult::kOtherConfig;
+  }
   for (const ServerChange& change : delta.servers) {
     MergeServer(registry, change, delta, now);
   }
   for (const RouteChange& change : delta.routes) {
     MergeRoute(registry, change, delta, now);
   }
-  const bool new_limits = delta.limits.has_value() &&
-                          delta.limits->revision > registry.limits.revision;
-  if (new_limits) registry.limits = *delta.limits;
+  MergeLimits(registry, delta);
   if (delta.is_snapshot) {
     RemoveRecordsMissingFrom(registry, delta, now);
     // Removals before the snapshot are unknown and cannot be sent as changes.
     registry.horizon = delta.as_of;
+    registry.past_configs.clear();
     registry.last_change = delta.as_of;
   }
   registry.as_of = delta.as_of;
@@ -119,10 +163,15 @@
   return MergeResult::kMerged;
 }
 
+bool NeedsSnapshot(const Registry& registry, Revision after) {
+  return after == 0 || after < registry.horizon ||
+         !ConfigInForceAt(registry, after).has_value();
+}
+
 FactDelta DeltaSince(const Registry& registry, Revision after) {
   FactDelta delta{.after = after,
                   .as_of = registry.as_of,
-                  .is_snapshot = after < registry.horizon || after == 0};
+                  .is_snapshot = NeedsSnapshot(registry, after)};
   for (const auto& [name, record] : registry.servers) {
     if (record.removed) {
       delta.removals_held_until =
@@ -143,6 +192,9 @@
   }
   if (delta.is_snapshot || registry.limits.revision > after) {
     delta.limits = registry.limits;
+    if (!delta.is_snapshot) {
+      delta.config_base = ConfigInForceAt(registry, after);
+    }
   }
   return delta;
 }
@@ -164,6 +216,7 @@
          .route = route});
   }
   if (!delta.is_snapshot) {
+    delta.config_base = registry.limits.revision;
     for (const auto& [address, record] : registry.routes) {
       if (record.removed || configured.contains(address)) continue;
       delta.routes.push_back({.address = address, .revision = revision});
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -44,9 +44,21 @@
   auto operator<=>(const RetiredMark&) const = default;
 };
 
+// A configuration that was in force before the present one.
+struct PastConfig {
+  Revision revision = 0;
+  // No newer configuration was set up to this revision. When the next one was
+  // set after it is unknown, and so is whether others came in between.
+  Revision known_until = 0;
+
+  auto operator<=>(const PastConfig&) const = default;
+};
+
 // Replicated facts of servers and routes, complete up to revision `as_of`,
-// which never decreases. The content depends on `as_of` alone, not on the path
-// or order in which the facts arrived.
+// which never decreases. The servers, routes and limits in force depend on
+// `as_of` alone, not on the path or order in which the facts arrived. What is
+// known of the past does depend on it: tombstones, retired marks, `horizon` and
+// `past_configs`.
 struct Registry {
   Revision as_of = 0;
   // The last revision known to have changed a fact.
@@ -58,7 +70,10 @@
   std::map<Endpoint, RouteRecord> routes;
   // Grows with each change of a route. Local: not comparable between VMs.
   uint64_t routes_version = 0;
+  // Its revision is that of the configuration, to which the routes belong.
   LimitsChange limits;
+  // In ascending order, from the horizon on.
+  std::vector<PastConfig> past_configs;
   std::vector<RetiredMark> retired_marks;
 
   auto operator<=>(const Registry&) const = default;
@@ -72,6 +87,9 @@
   kMerged,
   // The changes between `as_of` and the delta are missing; nothing was merged.
   kGap,
+  // The delta's changes of routes start from another configuration than that of
+  // the registry; nothing was merged.
+  kOtherConfig,
 };
 
 // Merges changes from the platform or from a peer. Idempotent: a delta that is
@@ -79,8 +97,12 @@
 MergeResult MergeDelta(Registry& registry, const FactDelta& delta,
                        TimePoint now);
 
-// The changes from revision `after` to `as_of`; a snapshot if `after` is 0 or
-// before the horizon.
+// Returns true if the changes after a revision can only be sent as a snapshot:
+// if it is 0, before the horizon, or a revision at which the configuration is
+// not known.
+bool NeedsSnapshot(const Registry& registry, Revision after);
+
+// The changes from revision `after` to `as_of`; a snapshot if NeedsSnapshot.
 FactDelta DeltaSince(const Registry& registry, Revision after);
 
 // Adds to `delta` the changes of routes and limits that lead to `config`, which
--- a/drivers/fleet.thrift
+++ b/drivers/fleet.thrift
@@ -84,6 +84,8 @@
   1: i64 revision
   2: i64 version
   3: i64 idle_timeout_ms
+  // Revision of the configuration that the changes of routes start from.
+  4: optional i64 base_revision
 }
 
 struct FactsNoticeT {
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -194,6 +194,9 @@
     limits.revision = static_cast<int64_t>(delta.limits->revision);
     limits.version = static_cast<int64_t>(delta.limits->limits.version);
     limits.idle_timeout_ms = delta.limits->limits.idle_timeout.count();
+    if (delta.config_base.has_value()) {
+      limits.__set_base_revision(static_cast<int64_t>(*delta.config_base));
+    }
     wire.__set_limits(limits);
   }
   if (notice.confirmed_at != TimePoint{}) {
@@ -237,6 +240,9 @@
         .limits = {.version = Narrow<uint64_t>(wire.limits.version),
                    .idle_timeout = Duration(
                        Narrow<uint32_t>(wire.limits.idle_timeout_ms))}};
+    if (wire.limits.__isset.base_revision) {
+      notice.delta.config_base = Narrow<Revision>(wire.limits.base_revision);
+    }
   }
   return notice;
 }
--- a/drivers/gen/fleet_types.cpp
+++ b/drivers/gen/fleet_types.cpp
@@ -1938,6 +1938,11 @@
 void LimitsChangeT::__set_idle_timeout_ms(const int64_t val) {
   this->idle_timeout_ms = val;
 }
+
+void LimitsChangeT::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+__isset.base_revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const LimitsChangeT& obj)
 {
   obj.printTo(out);
@@ -1990,6 +1995,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2019,6 +2032,11 @@
   xfer += oprot->writeI64(this->idle_timeout_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.base_revision) {
+    xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->base_revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2029,6 +2047,7 @@
   swap(a.revision, b.revision);
   swap(a.version, b.version);
   swap(a.idle_timeout_ms, b.idle_timeout_ms);
+  swap(a.base_revision, b.base_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -2036,18 +2055,21 @@
   revision = other68.revision;
   version = other68.version;
   idle_timeout_ms = other68.idle_timeout_ms;
+  base_revision = other68.base_revision;
   __isset = other68.__isset;
 }
 LimitsChangeT::LimitsChangeT(LimitsChangeT&& other69) noexcept {
   revision = other69.revision;
   version = other69.version;
   idle_timeout_ms = other69.idle_timeout_ms;
+  base_revision = other69.base_revision;
   __isset = other69.__isset;
 }
 LimitsChangeT& LimitsChangeT::operator=(const LimitsChangeT& other70) noexcept {
   revision = other70.revision;
   version = other70.version;
   idle_timeout_ms = other70.idle_timeout_ms;
+  base_revision = other70.base_revision;
   __isset = other70.__isset;
   return *this;
 }
@@ -2055,6 +2077,7 @@
   revision = other71.revision;
   version = other71.version;
   idle_timeout_ms = other71.idle_timeout_ms;
+  base_revision = other71.base_revision;
   __isset = other71.__isset;
   return *this;
 }
@@ -2064,6 +2087,7 @@
   out << "revision=" << to_string(revision);
   out << ", " << "version=" << to_string(version);
   out << ", " << "idle_timeout_ms=" << to_string(idle_timeout_ms);
+  out << ", " << "base_revision="; (__isset.base_revision ? (out << to_string(base_revision)) : (out << "<null>"));
   out << ")";
 }
 
--- a/drivers/gen/fleet_types.h
+++ b/drivers/gen/fleet_types.h
@@ -786,10 +786,11 @@
 std::ostream& operator<<(std::ostream& out, const RouteChangeT& obj);
 
 typedef struct _LimitsChangeT__isset {
-  _LimitsChangeT__isset() : revision(false), version(false), idle_timeout_ms(false) {}
+  _LimitsChangeT__isset() : revision(false), version(false), idle_timeout_ms(false), base_revision(false) {}
   bool revision :1;
   bool version :1;
   bool idle_timeout_ms :1;
+  bool base_revision :1;
 } _LimitsChangeT__isset;
 
 class LimitsChangeT : public virtual ::apache::thrift::TBase {
@@ -802,13 +803,15 @@
   LimitsChangeT() noexcept
                 : revision(0),
                   version(0),
-                  idle_timeout_ms(0) {
+                  idle_timeout_ms(0),
+                  base_revision(0) {
   }
 
   virtual ~LimitsChangeT() noexcept;
   int64_t revision;
   int64_t version;
   int64_t idle_timeout_ms;
+  int64_t base_revision;
 
   _LimitsChangeT__isset __isset;
 
@@ -818,6 +821,8 @@
 
   void __set_idle_timeout_ms(const int64_t val);
 
+  void __set_base_revision(const int64_t val);
+
   bool operator == (const LimitsChangeT & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -826,6 +831,10 @@
       return false;
     if (!(idle_timeout_ms == rhs.idle_timeout_ms))
       return false;
+    if (__isset.base_revision != rhs.__isset.base_revision)
+      return false;
+    else if (__isset.base_revision && !(base_revision == rhs.base_revision))
+      return false;
     return true;
   }
   bool operator != (const LimitsChangeT &rhs) const {
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -105,6 +105,23 @@
     RecordConfirmation(vm.fleet, now_);
   }
 
+  // Lets a VM read a configuration from the store, in which the route leads to
+  // `service`. A watcher sends it to the fleet.
+  void ReadConfig(size_t index, const std::string& service, Revision revision) {
+    Vm& vm = vms_[index];
+    const Revision before = vm.registry.as_of;
+    FactDelta delta{.after = before, .as_of = revision};
+    const ConfigFact config{.limits = {.version = revision},
+                            .routes = {Route(200, service)}};
+    AddConfigChanges(vm.registry, config, revision, delta);
+    MergeDelta(vm.registry, delta, now_);
+    FleetOutbox out;
+    if (vm.fleet.watching) {
+      SendFacts(vm.fleet, vm.registry, before, now_, out);
+    }
+    Send(index, out);
+  }
+
   // Number of messages with facts.
   size_t facts_sent() const { return facts_sent_; }
   size_t platform_calls() const { return platform_calls_; }
@@ -283,6 +300,24 @@
   cr_expect(fleet.AllUpToDate());
 }
 
+// Guards against a route that stays wrong on a VM that read a configuration
+// which the watcher skipped (review case 2).
+Test(fleet, a_vm_that_read_a_skipped_configuration_gets_the_next_one) {
+  FakeFleet fleet(15);
+  fleet.Run(kConvergenceTime);
+  cr_assert(fleet.vm(0).fleet.watching);
+  const Revision revision = fleet.vm(0).registry.as_of;
+  fleet.ReadConfig(7, "catalogue", revision + 1);
+  fleet.ReadConfig(0, "atelier", revision + 2);
+  fleet.Run(kMaxPropagationTime);
+  for (size_t i = 0; i < 15; ++i) {
+    const Registry& registry = fleet.vm(i).registry;
+    cr_expect(registry.as_of == revision + 2);
+    const RouteRecord& record = registry.routes.at(Route(200).address);
+    cr_expect(record.fact == Route(200, "atelier"), "VM %zu", i);
+  }
+}
+
 Test(fleet, a_starting_vm_without_the_platform_gets_facts_from_a_peer) {
   FakeFleet fleet(15);
   fleet.Run(kConvergenceTime);
--- a/tests/drivers/fleet_codec_test.cc
+++ b/tests/drivers/fleet_codec_test.cc
@@ -30,6 +30,7 @@
   if (*rc::gen::arbitrary<bool>()) {
     delta.limits = {.revision = 4,
                     .limits = {.version = 9, .idle_timeout = Duration(77)}};
+    if (*rc::gen::arbitrary<bool>()) delta.config_base = 3;
   }
   return delta;
 }
