Compare the facts of VMs by a digest and repair differences

Whatever makes the facts of two VMs differ at one revision, nothing notices it. Change: gossip and leases carry a 32-bit digest of servers, routes and limits in force. A VM that meets another digest at its own revision logs it, counts it, and reads all of the platform's facts anew, which replace its own whatever their revisions; at most once in 30 s, and less often while its facts were right. Facts of a paged read that are newer than the revision have no digest.

--- a/core/fleet/catch_up.cc
+++ b/core/fleet/catch_up.cc
@@ -46,4 +46,25 @@
   registry.as_of = version.as_of;
 }
 
+bool CompareFacts(FleetState& state, const Registry& registry,
+                  const FactsVersion& version, TimePoint now) {
+  const bool comparable = version.as_of == registry.as_of &&
+                          version.digest != kNoDigest &&
+                          registry.digest != kNoDigest;
+  if (!comparable || version.digest == registry.digest) return false;
+  if (state.repair.needed || now < state.repair.not_before) return false;
+  state.repair.needed = true;
+  ++state.repair.count;
+  return true;
+}
+
+void RecordRepair(FleetState& state, bool changed, TimePoint now) {
+  RepairState& repair = state.repair;
+  repair.needed = false;
+  repair.backoff = changed ? kMinRepairInterval
+                           : std::clamp(2 * repair.backoff, kMinRepairInterval,
+                                        kMaxRepairInterval);
+  repair.not_before = now + repair.backoff;
+}
+
 }  // namespace knapweedlift
--- a/core/fleet/catch_up.h
+++ b/core/fleet/catch_up.h
@@ -26,6 +26,19 @@
                  const FactsVersion& version, const Endpoint& from,
                  TimePoint now, FleetOutbox& out);
 
+// Time from a repair to the next one; it doubles each time that the facts turn
+// out to have been right.
+inline constexpr Duration kMinRepairInterval{30'000};
+inline constexpr Duration kMaxRepairInterval{600'000};
+
+// Compares the facts with those of a peer at the same revision. Returns true if
+// they differ and this VM is to read the platform's facts anew.
+bool CompareFacts(FleetState& state, const Registry& registry,
+                  const FactsVersion& version, TimePoint now);
+
+// Records that the facts were read anew, and whether they had been wrong.
+void RecordRepair(FleetState& state, bool changed, TimePoint now);
+
 }  // namespace knapweedlift
 
 #endif  // KNAPWEEDLIFT_CORE_FLEET_CATCH_UP_H_
--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -192,7 +192,7 @@
   }
   if (gossip.reply_wanted) SendGossip(state, registry, from, false, now, out);
   CatchUpWith(state, registry, gossip.facts, from, now, out);
-  return {};
+  return {.facts_differ = CompareFacts(state, registry, gossip.facts, now)};
 }
 
 FleetMessageResult HandleMessage(FleetState& state, Registry& /*registry*/,
@@ -256,7 +256,7 @@
   const bool up_to_date = lease.watching && registry.as_of >= lease.facts.as_of;
   if (up_to_date) state.confirmed_at = now;
   ForwardNotice(state, lease, out);
-  return {};
+  return {.facts_differ = CompareFacts(state, registry, lease.facts, now)};
 }
 
 FleetMessageResult HandleMessage(FleetState& state, Registry& /*registry*/,
@@ -387,7 +387,8 @@
 }
 
 bool ShouldCatchUp(const FleetState& state, const Registry& registry) {
-  return registry.as_of != 0 && state.lagging_since != TimePoint::max();
+  const bool lagging = state.lagging_since != TimePoint::max();
+  return registry.as_of != 0 && (lagging || state.repair.needed);
 }
 
 void SetWatching(FleetState& state, const Registry& registry, bool watching,
@@ -454,7 +455,8 @@
 FactsVersion FactsVersionOf(const Registry& registry) {
   return {.as_of = registry.as_of,
           .last_change = registry.last_change,
-          .horizon = registry.horizon};
+          .horizon = registry.horizon,
+          .digest = registry.digest};
 }
 
 }  // namespace knapweedlift
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -38,6 +38,19 @@
   size_t next_referral = 0;
 };
 
+// The state of a VM whose facts differ from those that a peer has at the same
+// revision. Either may be wrong, so that both read the platform's facts anew.
+struct RepairState {
+  bool needed = false;
+  // The next difference is not acted on earlier.
+  TimePoint not_before;
+  Duration backoff{0};
+  // Differences that were acted on since the start.
+  uint64_t count = 0;
+
+  auto operator<=>(const RepairState&) const = default;
+};
+
 // Replication of facts and load between VMs. One VM, the watcher, watches the
 // platform and distributes its changes. Every VM can take over, so that each
 // side of a network partition has its own watcher.
@@ -77,6 +90,7 @@
   TimePoint lagging_since = TimePoint::max();
   // The last peer that reported having them.
   Endpoint catch_up_peer;
+  RepairState repair;
   FirstFactsState first_facts;
   // Streams on which this VM is sending large messages.
   size_t snapshots_in_flight = 0;
@@ -132,6 +146,8 @@
 // The effects of a message that the caller has to act on.
 struct FleetMessageResult {
   bool facts_changed = false;
+  // The sender has other facts at the same revision, and a repair is due.
+  bool facts_differ = false;
   // Servers that failed health checks of another VM.
   std::vector<Mark> suspect_marks;
 
@@ -144,7 +160,8 @@
                                       VmId sender, const FleetMessage& message,
                                       TimePoint now, FleetOutbox& out);
 
-// True if this VM lags behind and should fetch changes from the platform once.
+// True if this VM lags behind or needs a repair, and should fetch changes from
+// the platform once.
 bool ShouldCatchUp(const FleetState& state, const Registry& registry);
 
 // Records that this VM itself has just read the platform's current facts.
--- a/core/fleet/messages.h
+++ b/core/fleet/messages.h
@@ -31,6 +31,8 @@
   // Compaction limit: the sender has the single changes after this revision.
   // Earlier ones can only be sent as part of a snapshot.
   Revision horizon = 0;
+  // Of the facts at revision `as_of`.
+  FactsDigest digest = kNoDigest;
 
   auto operator<=>(const FactsVersion&) const = default;
 };
--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -17,6 +17,13 @@
 // revision than the one before.
 using Revision = uint64_t;
 
+// Hash of all facts in force. Two registries with the same revision and
+// different digests show that one of them is wrong.
+using FactsDigest = uint32_t;
+
+// Says nothing about the facts.
+inline constexpr FactsDigest kNoDigest = 0;
+
 // The age of facts that came from a peer and have not been confirmed since.
 inline constexpr Duration kNeverConfirmed{-1};
 
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "core/registry/facts_digest.h"
+
 namespace knapweedlift {
 namespace {
 
@@ -160,9 +162,40 @@
   }
   registry.as_of = delta.as_of;
   registry.last_change = std::max(registry.last_change, LastChange(delta));
+  const bool may_differ = delta.is_snapshot || delta.limits.has_value() ||
+                          !delta.servers.empty() || !delta.routes.empty();
+  if (may_differ || registry.digest == kNoDigest) {
+    registry.digest = ComputeFactsDigest(registry);
+  }
   return MergeResult::kMerged;
 }
 
+void ReplaceFacts(Registry& registry, const FactDelta& snapshot,
+                  TimePoint now) {
+  Registry repaired;
+  MergeDelta(repaired, snapshot, now);
+  repaired.retired_marks = registry.retired_marks;
+  repaired.routes_version = registry.routes_version + 1;
+  for (auto& [name, record] : registry.servers) {
+    const auto [found, missing] = repaired.servers.try_emplace(name, record);
+    if (missing && !record.removed) {
+      SetRemoved(found->second, snapshot.as_of, snapshot, now);
+    }
+    const bool restarted = found->second.fact.mark != record.fact.mark;
+    if (restarted && record.fact.mark != kNoMark) {
+      repaired.retired_marks.push_back(
+          {.mark = record.fact.mark, .retired_at = now});
+    }
+  }
+  for (const auto& [address, record] : registry.routes) {
+    const auto [found, missing] = repaired.routes.try_emplace(address, record);
+    if (missing && !record.removed) {
+      SetRemoved(found->second, snapshot.as_of, snapshot, now);
+    }
+  }
+  registry = std::move(repaired);
+}
+
 bool NeedsSnapshot(const Registry& registry, Revision after) {
   return after == 0 || after < registry.horizon ||
          !ConfigInForceAt(registry, after).has_value();
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -75,6 +75,8 @@
   // In ascending order, from the horizon on.
   std::vector<PastConfig> past_configs;
   std::vector<RetiredMark> retired_marks;
+  // Of the facts in force.
+  FactsDigest digest = kNoDigest;
 
   auto operator<=>(const Registry&) const = default;
 };
@@ -97,6 +99,11 @@
 MergeResult MergeDelta(Registry& registry, const FactDelta& delta,
                        TimePoint now);
 
+// Replaces the facts in force by those of a snapshot that is not older,
+// whatever their revisions. Repairs a registry that has become wrong; its
+// tombstones and retired marks are kept.
+void ReplaceFacts(Registry& registry, const FactDelta& snapshot, TimePoint now);
+
 // Returns true if the changes after a revision can only be sent as a snapshot:
 // if it is 0, before the horizon, or a revision at which the configuration is
 // not known.
--- a/drivers/fleet.thrift
+++ b/drivers/fleet.thrift
@@ -21,6 +21,8 @@
   1: i64 as_of
   2: i64 last_change
   3: i64 horizon
+  // Hash of the facts at revision as_of; absent if it is unknown.
+  4: optional i32 digest
 }
 
 struct DomainLoadT {
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -44,13 +44,18 @@
   wire.as_of = static_cast<int64_t>(version.as_of);
   wire.last_change = static_cast<int64_t>(version.last_change);
   wire.horizon = static_cast<int64_t>(version.horizon);
+  if (version.digest != kNoDigest) {
+    wire.__set_digest(static_cast<int32_t>(version.digest));
+  }
   return wire;
 }
 
 FactsVersion FromWire(const gen::FactsVersionT& wire) {
   return {.as_of = Narrow<Revision>(wire.as_of),
           .last_change = Narrow<Revision>(wire.last_change),
-          .horizon = Narrow<Revision>(wire.horizon)};
+          .horizon = Narrow<Revision>(wire.horizon),
+          .digest = wire.__isset.digest ? static_cast<FactsDigest>(wire.digest)
+                                        : kNoDigest};
 }
 
 gen::FleetVmT ToWire(const VmAddress& address) {
--- a/drivers/gen/fleet_types.cpp
+++ b/drivers/gen/fleet_types.cpp
@@ -363,6 +363,11 @@
 void FactsVersionT::__set_horizon(const int64_t val) {
   this->horizon = val;
 }
+
+void FactsVersionT::__set_digest(const int32_t val) {
+  this->digest = val;
+__isset.digest = true;
+}
 std::ostream& operator<<(std::ostream& out, const FactsVersionT& obj)
 {
   obj.printTo(out);
@@ -415,6 +420,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -444,6 +457,11 @@
   xfer += oprot->writeI64(this->horizon);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->digest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -454,6 +472,7 @@
   swap(a.as_of, b.as_of);
   swap(a.last_change, b.last_change);
   swap(a.horizon, b.horizon);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -461,18 +480,21 @@
   as_of = other8.as_of;
   last_change = other8.last_change;
   horizon = other8.horizon;
+  digest = other8.digest;
   __isset = other8.__isset;
 }
 FactsVersionT::FactsVersionT(FactsVersionT&& other9) noexcept {
   as_of = other9.as_of;
   last_change = other9.last_change;
   horizon = other9.horizon;
+  digest = other9.digest;
   __isset = other9.__isset;
 }
 FactsVersionT& FactsVersionT::operator=(const FactsVersionT& other10) noexcept {
   as_of = other10.as_of;
   last_change = other10.last_change;
   horizon = other10.horizon;
+  digest = other10.digest;
   __isset = other10.__isset;
   return *this;
 }
@@ -480,6 +502,7 @@
   as_of = other11.as_of;
   last_change = other11.last_change;
   horizon = other11.horizon;
+  digest = other11.digest;
   __isset = other11.__isset;
   return *this;
 }
@@ -489,6 +512,7 @@
   out << "as_of=" << to_string(as_of);
   out << ", " << "last_change=" << to_string(last_change);
   out << ", " << "horizon=" << to_string(horizon);
+  out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/drivers/gen/fleet_types.h
+++ b/drivers/gen/fleet_types.h
@@ -193,10 +193,11 @@
 std::ostream& operator<<(std::ostream& out, const FleetPeerT& obj);
 
 typedef struct _FactsVersionT__isset {
-  _FactsVersionT__isset() : as_of(false), last_change(false), horizon(false) {}
+  _FactsVersionT__isset() : as_of(false), last_change(false), horizon(false), digest(false) {}
   bool as_of :1;
   bool last_change :1;
   bool horizon :1;
+  bool digest :1;
 } _FactsVersionT__isset;
 
 class FactsVersionT : public virtual ::apache::thrift::TBase {
@@ -209,13 +210,15 @@
   FactsVersionT() noexcept
                 : as_of(0),
                   last_change(0),
-                  horizon(0) {
+                  horizon(0),
+                  digest(0) {
   }
 
   virtual ~FactsVersionT() noexcept;
   int64_t as_of;
   int64_t last_change;
   int64_t horizon;
+  int32_t digest;
 
   _FactsVersionT__isset __isset;
 
@@ -225,6 +228,8 @@
 
   void __set_horizon(const int64_t val);
 
+  void __set_digest(const int32_t val);
+
   bool operator == (const FactsVersionT & rhs) const
   {
     if (!(as_of == rhs.as_of))
@@ -233,6 +238,10 @@
       return false;
     if (!(horizon == rhs.horizon))
       return false;
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const FactsVersionT &rhs) const {
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -192,6 +192,8 @@
        to_double(context.messenger.sent_bytes())},
       {"knapweedlift_control_received_bytes_total", "",
        to_double(context.messenger.received_bytes())},
+      {"knapweedlift_facts_differences_total", "",
+       to_double(fleet.repair.count)},
       {"knapweedlift_bad_peer_messages_total", "",
        to_double(context.messenger.bad_messages())},
   };
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -158,6 +158,14 @@
 
 void MarkDaemon::HandleFleetUpdate(const FleetMessageResult& update) {
   if (update.facts_changed) HandleChangedFacts();
+  if (update.facts_differ) {
+    LogWarning("facts_differ",
+               {{"vm", settings_.name},
+                {"revision", registry_.as_of},
+                {"action",
+                 "None: this VM reads the platform's facts anew. If the line "
+                 "repeats, report it with the logs of the fleet."}});
+  }
   health_.HandleSuspicions(update.suspect_marks, Now());
 }
 
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
+#include "core/fleet/catch_up.h"
 #include "core/fleet/first_facts.h"
 #include "core/fleet/watcher_election.h"
 #include "core/result_code.h"
@@ -142,6 +143,9 @@
     return source_.ReadAll(
         PagesToRead(messenger_.state(), read_is_partial_, now), now);
   }
+  if (messenger_.state().repair.needed) {
+    return source_.ReadAll(kAllPages, now);
+  }
   // The first call of a watch returns at once and shows whether the platform
   // answers this VM.
   const Duration wait =
@@ -169,17 +173,39 @@
   if (now < removal_hold_.until) {
     delta.removals_held_until = removal_hold_.until;
   }
+  // An older snapshot repairs nothing, and one without a configuration would
+  // remove all routes. The next read is tried instead.
+  const bool is_repair = messenger_.state().repair.needed &&
+                         changes.is_snapshot && changes.config.has_value() &&
+                         changes.as_of >= registry_.as_of;
   if (changes.config.has_value()) {
-    AddConfigChanges(registry_, changes.config->config,
+    // A repair takes all routes, also those that seem to be unchanged.
+    AddConfigChanges(is_repair ? Registry{} : registry_, changes.config->config,
                      changes.config->revision, delta);
   }
   const Revision before = registry_.as_of;
-  const Revision changed_before = registry_.last_change;
-  if (MergeDelta(registry_, delta, now) != MergeResult::kMerged) return;
-  PruneTombstones(registry_, now);
-  if (registry_.last_change == changed_before) return;
+  if (!MergeChanges(delta, is_repair, now)) return;
   on_change_();
-  if (before != 0) messenger_.SendFacts(before);
+  if (before != 0 && registry_.as_of > before) messenger_.SendFacts(before);
+}
+
+bool PlatformWatcher::MergeChanges(const FactDelta& delta, bool is_repair,
+                                   TimePoint now) {
+  if (!is_repair) {
+    const Revision changed_before = registry_.last_change;
+    if (MergeDelta(registry_, delta, now) != MergeResult::kMerged) return false;
+    PruneTombstones(registry_, now);
+    return registry_.last_change != changed_before;
+  }
+  const FactsDigest digest = registry_.digest;
+  const Revision as_of = registry_.as_of;
+  ReplaceFacts(registry_, delta, now);
+  const bool were_wrong =
+      registry_.as_of == as_of && registry_.digest != digest;
+  RecordRepair(messenger_.state(), were_wrong, now);
+  LogInfo("facts_read_anew",
+          {{"revision", registry_.as_of}, {"were_wrong", were_wrong}});
+  return registry_.digest != digest;
 }
 
 void PlatformWatcher::UpdateStatus(const absl::Status& status) {
--- a/servers/marks/platform_watcher.h
+++ b/servers/marks/platform_watcher.h
@@ -57,6 +57,9 @@
   absl::Status Poll();
   absl::StatusOr<SourceUpdate> FetchChanges();
   void ApplyChanges(const SourceUpdate& changes);
+  // Merges the changes of a source, or repairs the registry by its snapshot.
+  // Returns true if the facts changed.
+  bool MergeChanges(const FactDelta& delta, bool is_repair, TimePoint now);
   void UpdateStatus(const absl::Status& status);
 
   FactSource& source_;
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -2,8 +2,10 @@
 #include <map>
 #include <set>
 
+#include "core/fleet/catch_up.h"
 #include "core/fleet/relay_tree.h"
 #include "core/fleet/watcher_election.h"
+#include "core/registry/facts_digest.h"
 #include "tests/support/facts.h"
 #include "tests/support/properties.h"
 
@@ -318,6 +320,27 @@
   }
 }
 
+// Whatever made the facts of a VM differ is noticed by gossip.
+Test(fleet, a_vm_with_other_facts_at_the_same_revision_needs_a_repair) {
+  FakeFleet fleet(15);
+  fleet.Run(kConvergenceTime);
+  for (size_t i = 0; i < 15; ++i) {
+    cr_expect(not fleet.vm(i).fleet.repair.needed, "VM %zu", i);
+  }
+  FakeFleet::Vm& vm = fleet.vm(7);
+  vm.registry.routes.at(Route(200).address).fact = Route(200, "catalogue");
+  vm.registry.digest = ComputeFactsDigest(vm.registry);
+  fleet.Run(kMaxPropagationTime);
+  cr_assert(vm.fleet.repair.needed);
+  cr_expect(ShouldCatchUp(vm.fleet, vm.registry));
+  // The difference is counted once until the repair, and then not at once.
+  cr_expect(vm.fleet.repair.count == 1);
+  RecordRepair(vm.fleet, false, At(2'000'000));
+  const FactsVersion version = FactsVersionOf(fleet.vm(0).registry);
+  cr_expect(not CompareFacts(vm.fleet, vm.registry, version, At(2'000'100)));
+  cr_expect(CompareFacts(vm.fleet, vm.registry, version, At(2'100'000)));
+}
+
 Test(fleet, a_starting_vm_without_the_platform_gets_facts_from_a_peer) {
   FakeFleet fleet(15);
   fleet.Run(kConvergenceTime);
--- a/tests/core/registry_model_test.cc
+++ b/tests/core/registry_model_test.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "core/registry/fact_source.h"
+#include "core/registry/facts_digest.h"
 #include "core/registry/registry.h"
 #include "tests/support/facts.h"
 #include "tests/support/properties.h"
@@ -258,10 +259,24 @@
     }
   }
 
-  // True if the registry holds the facts of the store at its revision.
+  // True if the registry holds the facts of the store at its revision, and a
+  // digest of them.
   bool IsCorrect(const Registry& registry) const {
     return registry.as_of == 0 ||
-           ContentOf(registry) == store_.ContentAt(registry.as_of);
+           (ContentOf(registry) == store_.ContentAt(registry.as_of) &&
+            registry.digest != kNoDigest &&
+            registry.digest == ComputeFactsDigest(registry));
+  }
+
+  // True if digests are equal where the facts are.
+  bool DigestsMatchFacts() const {
+    for (const Registry& one : registries_) {
+      for (const Registry& other : registries_) {
+        const bool same_digest = one.digest == other.digest;
+        if (same_digest != (ContentOf(one) == ContentOf(other))) return false;
+      }
+    }
+    return true;
   }
 
   bool AllAreCorrect() const {
@@ -302,6 +317,7 @@
     for (const Step& step : steps) {
       model.Run(step);
       RC_ASSERT(model.AllAreCorrect());
+      RC_ASSERT(model.DigestsMatchFacts());
     }
     model.Exchange();
     RC_ASSERT(model.AllAreCorrect());
--- a/tests/core/registry_test.cc
+++ b/tests/core/registry_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "core/registry/facts_digest.h"
 #include "tests/support/facts.h"
 #include "tests/support/properties.h"
 
@@ -222,3 +223,33 @@
     cr_expect(not peer.servers.at(Server(2).name).removed);
   }
 }
+
+Test(registry, facts_newer_than_the_revision_have_no_digest) {
+  Registry registry = RegistryOf({Server(1)});
+  cr_expect(registry.digest != kNoDigest);
+  FactDelta ahead = SnapshotOf({Server(1), Server(2)}, 11);
+  ahead.servers.back().revision = 12;
+  MergeDelta(registry, ahead, At(0));
+  cr_expect(registry.digest == kNoDigest);
+  MergeDelta(registry, {.after = 11, .as_of = 12}, At(0));
+  cr_expect(registry.digest == RegistryOf({Server(1), Server(2)}).digest);
+}
+
+// The loss: a registry has other facts at the same revision than the platform.
+Test(registry, a_snapshot_replaces_wrong_facts_of_the_same_revision) {
+  Registry registry = RegistryOf({Server(1), Server(2)});
+  const Registry right = registry;
+  registry.servers.at(Server(2).name).fact.mark = 77;
+  registry.servers[Server(3).name] = {.fact = Server(3), .revision = 10};
+  registry.routes.at(Route(200).address).fact = Route(200, "catalogue");
+  registry.digest = ComputeFactsDigest(registry);
+  const uint64_t routes_version = registry.routes_version;
+  ReplaceFacts(registry, SnapshotOf({Server(1), Server(2)}), At(5));
+  cr_expect(ContentOf(registry) == ContentOf(right));
+  cr_expect(registry.digest == right.digest);
+  cr_expect(registry.as_of == right.as_of);
+  cr_expect(registry.routes_version > routes_version);
+  cr_expect(registry.servers.at(Server(3).name).removed);
+  cr_assert(registry.retired_marks.size() == 1);
+  cr_expect(registry.retired_marks[0].mark == 77);
+}
--- a/tests/drivers/fleet_codec_test.cc
+++ b/tests/drivers/fleet_codec_test.cc
@@ -37,7 +37,8 @@
 
 FleetMessage ArbitraryMessage() {
   const FactsVersion facts{.as_of = *rc::gen::inRange<Revision>(0, 99),
-                           .last_change = *rc::gen::inRange<Revision>(0, 99)};
+                           .last_change = *rc::gen::inRange<Revision>(0, 99),
+                           .digest = *rc::gen::arbitrary<FactsDigest>()};
   const auto id = *rc::gen::inRange<VmId>(1, 0xFFFFFFFF);
   switch (*rc::gen::inRange(0, 7)) {
     case 0: {
