Write the log without waiting for its reader

Cause: each line was written by the thread that logged it, with a blocking write. Change: lines pass through a bounded queue and are written only as far as poll says that the reader has room. Beyond the bound they are dropped, counted by event in a metric, and reported in one line once there is room. A stop flushes for 200 ms at most; a reader that is gone no longer ends the process; a reload no longer prints to standard error. Tests: marks_testbed/follows_changes_while_nobody_reads_the_log (before: no VM got ready within 20 s), log/*, output_queue/*.

--- a/main/commands.cc
+++ b/main/commands.cc
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Duration kAdminTimeout{5'000};
+// Bounds the end of a daemon whose log nobody reads.
+constexpr Duration kLogFlushTime{200};
 
 // Called by signal handlers while a daemon runs; empty otherwise.
 std::function<void()> stop_running_daemon;
@@ -42,34 +44,46 @@
         "cannot_serve",
         {{"message", std::string(status.message())},
          {"action", "Free the address and port, or correct the settings."}});
+    FlushLog(Now() + kLogFlushTime);
     return kExitCannotServe;
   }
   stop_running_daemon = [&daemon] { daemon.Stop(); };
   std::signal(SIGTERM, HandleStopSignal);
   std::signal(SIGINT, HandleStopSignal);
   std::signal(SIGHUP, HandleReloadSignal);
+  // The log may be a pipe whose reader has ended.
+  std::signal(SIGPIPE, SIG_IGN);
   daemon.Run();
   stop_running_daemon = nullptr;
   reload_running_daemon = nullptr;
+  FlushLog(Now() + kLogFlushTime);
   return kExitOk;
 }
 
-std::optional<std::string> ReadFile(const std::string& path) {
+// Returns nothing if the file cannot be read.
+std::optional<std::string> ReadFileQuietly(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    std::cerr << path << ": cannot be read; check the path and the "
-              << "permissions\n";
-    return std::nullopt;
-  }
+  if (!file) return std::nullopt;
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
 }
 
+// Prints an error as well if the file cannot be read.
+std::optional<std::string> ReadFile(const std::string& path) {
+  auto text = ReadFileQuietly(path);
+  if (!text.has_value()) {
+    std::cerr << path << ": cannot be read; check the path and the "
+              << "permissions\n";
+  }
+  return text;
+}
+
 int RunMarkDaemon(const MarkDaemonSettings& settings,
                   const std::string& settings_path) {
+  // A running daemon must not wait for the reader of its standard error.
   const auto read_settings = [settings_path] {
-    const auto text = ReadFile(settings_path);
+    const auto text = ReadFileQuietly(settings_path);
     if (!text.has_value()) return std::optional<MarkDaemonSettings>();
     return ParseSettings(*text, settings_path).mark_settings;
   };
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -201,6 +201,10 @@
     gauges.push_back({"knapweedlift_log_lines_left_out_total",
                       absl::StrCat("kind=\"", kind, "\""), to_double(count)});
   }
+  for (const auto& [event, count] : context.dropped_lines) {
+    gauges.push_back({"knapweedlift_log_lines_dropped_total",
+                      absl::StrCat("event=\"", event, "\""), to_double(count)});
+  }
   AddServerAndFlowGauges(context, gauges);
   const auto labels = [&context](ServiceNumber service) {
     const bool known = service < context.memory.service_names.size();
--- a/servers/marks/mark_admin.h
+++ b/servers/marks/mark_admin.h
@@ -24,6 +24,8 @@
   const ViewBuildState& memory;
   // Log lines dropped by rate limits, by flow decision or by event.
   const std::map<std::string, uint64_t>& suppressed_lines;
+  // Log lines dropped because nobody read the output, by event.
+  const std::map<std::string, uint64_t>& dropped_lines;
   // Time from learning of a change to publishing it to the packet path.
   const LogHistogram& publish_delay_ms;
   const uint64_t& views_published;
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -92,6 +92,7 @@
                                        .forwarder = forwarder_,
                                        .memory = memory_,
                                        .suppressed_lines = suppressed_lines_,
+                                       .dropped_lines = dropped_lines_,
                                        .publish_delay_ms = publish_delay_ms_,
                                        .views_published = views_published_,
                                        .view = view_,
@@ -142,6 +143,7 @@
     if (now >= view_valid_until_) PublishView();
     if (watcher_.ShouldRun(now)) fiber([this] { watcher_.Run(); }).detach();
     if (now >= next_expire_at_) ExpireFlows(now);
+    WriteQueuedLogLines();
     boost::this_fiber::sleep_for(kTickPeriod);
   }
   watcher_.Stop();
@@ -292,6 +294,9 @@
   for (const auto& [event, count] : TakeSuppressedLineCounts()) {
     ReportSuppressedLines(event.c_str(), event, count);
   }
+  for (const auto& [event, count] : TakeDroppedLineCounts()) {
+    dropped_lines_[event] += count;
+  }
 }
 
 void MarkDaemon::ReportSuppressedLines(const char* event,
--- a/servers/marks/mark_daemon.h
+++ b/servers/marks/mark_daemon.h
@@ -128,6 +128,8 @@
   DecisionLog log_;
   // Log lines dropped by rate limits, by flow decision or by event.
   std::map<std::string, uint64_t> suppressed_lines_;
+  // Log lines dropped because nobody read the output, by event.
+  std::map<std::string, uint64_t> dropped_lines_;
   MarkForwarder forwarder_;
   HealthMonitor health_;
 
--- a/servers/tables/daemon.cc
+++ b/servers/tables/daemon.cc
@@ -102,6 +102,7 @@
   PublishView(now);
   for (size_t i = 0; i < kShardsPerTick; ++i) ExpireNextShard(now);
   SendQueuedMessages();
+  WriteQueuedLogLines();
   if (now >= next_rate_sample_at_) {
     next_rate_sample_at_ = now + kRateSamplePeriod;
     RecordNewFlowRates();
--- a/tests/lab/marks/testbed_test.cc
+++ b/tests/lab/marks/testbed_test.cc
@@ -1,5 +1,8 @@
 #include "lab/marks/testbed.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "platform/names.h"
 #include "tests/lab/marks/deployment.h"
 
@@ -290,6 +293,30 @@
   }
 }
 
+// Guards against a control thread that waits for the reader of its log for good
+// (KNOWN-RED 12): facts no longer changed and SIGTERM had no effect.
+Test(marks_testbed, follows_changes_while_nobody_reads_the_log,
+     .timeout = 120) {
+  int ends[2];
+  cr_assert(pipe(ends) == 0);
+  cr_assert(dup2(ends[1], STDOUT_FILENO) == STDOUT_FILENO);
+  fcntl(ends[1], F_SETFL, O_NONBLOCK);
+  const std::string page(4'096, 'x');
+  while (write(ends[1], page.data(), page.size()) > 0) continue;
+  fcntl(ends[1], F_SETFL, 0);
+  Deployment deployment(3);
+  deployment.StartClients();
+  for (uint64_t version = 2; version < 200; ++version) {
+    deployment.testbed.PutConfig(version, static_cast<int>(version % 2));
+    deployment.testbed.Run(Duration(20));
+  }
+  deployment.testbed.PutConfig(200);
+  cr_expect(deployment.testbed.RunUntil(
+      [&] { return deployment.AllReport("config_version", 200); }, kTimeout));
+  const ClientTotals sum = deployment.Finish();
+  cr_expect(sum.reset_flows == 0);
+}
+
 Test(marks_testbed, one_vm_watches_the_store_for_all, .timeout = 120) {
   Deployment deployment;
   deployment.testbed.Run(Duration(3'000));
