--- a/tests/platform/store_response_test.cc
+++ b/tests/platform/store_response_test.cc
@@ -113,10 +113,9 @@
 // address of a running server, whose flows were reset.
 Test(store_response, ignores_entries_of_other_writers) {
   const json entry = ServerEntry();
-  for (const char* field :
-       {names::kService, names::kAddress, names::kZone, names::kSlots,
-        names::kState, names::kColdLeftMs, names::kVersion, names::kSequence,
-        names::kBorn}) {
+  for (const char* field : {names::kService, names::kAddress, names::kZone,
+                            names::kSlots, names::kState, names::kColdLeftMs,
+                            names::kVersion, names::kSequence, names::kBorn}) {
     cr_expect(IsIgnored(ServerItem(Without(entry, field))), "%s", field);
     cr_expect(IsIgnored(ServerItem(With(entry, field, {1, 2}))), "%s", field);
     cr_expect(IsIgnored(ServerItem(With(entry, field, nullptr))), "%s", field);
