Let the flows of a suspect that passes checks continue

Cause: a check that a suspect passes between 1 and 5 s after the evidence does not count, since another server may have its address; meanwhile the VM resets all flows of the suspect that come to it, also those that other VMs have placed since. Change: a suspect that passes its last check after a time-out gets no new flows, but its flows continue. A server that took the address over ignores their packets, which carry the instance number. After a refused check nothing changes. Tests: server_health/flows_of_a_suspect_that_passes_checks_are_not_reset (fails before), flows_of_a_server_that_refused_a_check_are_reset.

--- a/core/health/server_health.cc
+++ b/core/health/server_health.cc
@@ -15,6 +15,7 @@
   health.state = HealthState::kChecking;
   health.consecutive_failures = 0;
   health.connection_refused = false;
+  health.in_doubt = false;
   health.evidence_since = evidence_since;
   health.next_check_at = now + kCheckInterval;
   return true;
@@ -35,6 +36,7 @@
   const bool suspect = health.state == HealthState::kSuspect;
   if (suspect && !IsSameServer(reuse, health.evidence_since,
                                health.connection_refused, listed, now)) {
+    health.in_doubt = !health.connection_refused;
     return HealthVerdict::kSuspect;
   }
   const ServerHealth before = health;
@@ -108,6 +110,7 @@
   // The server has answered a caller since the check started.
   if (health.state == HealthState::kHealthy) return HealthVerdict::kHealthy;
   ++health.consecutive_failures;
+  health.in_doubt = false;
   health.connection_refused |= outcome == CheckOutcome::kRefused;
   if (health.consecutive_failures < kFailuresToSuspect) {
     return HealthVerdict::kCheckAgain;
@@ -174,6 +177,7 @@
   const auto found = table.servers.find(mark);
   return found != table.servers.end() &&
          found->second.state == HealthState::kSuspect &&
+         !found->second.in_doubt &&
          table.last_answer_at > found->second.evidence_since;
 }
 
--- a/core/health/server_health.h
+++ b/core/health/server_health.h
@@ -30,6 +30,10 @@
   TimePoint evidence_since;
   // A check was refused: no process listens at the server's address any longer.
   bool connection_refused = false;
+  // A suspect passed its last check, but another server may have its address by
+  // now. The instance number in each packet keeps other servers from taking
+  // packets of its flows, so these may continue.
+  bool in_doubt = false;
   // No check starts before this time, unless another VM suspects the server.
   TimePoint next_check_at;
   // Suspicion of another VM: its first and its latest report, and when it
@@ -163,8 +167,8 @@
 bool IsSuspect(const HealthTable& table, Mark mark, TimePoint now);
 
 // Returns true if the flows of a server may be reset: the checks made by this
-// VM failed, and another server answered after the evidence began, which shows
-// that this VM itself is connected.
+// VM failed, the last one included, and another server answered after the
+// evidence began, which shows that this VM itself is connected.
 bool IsConfirmedDown(const HealthTable& table, Mark mark);
 
 // Removes the servers for which `is_known` returns false.
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -191,7 +191,8 @@
           {{"server", server.fact.name},
            {"service", server.fact.service},
            {"address", FormatEndpoint(server.fact.endpoint)},
-           {"refused", outcome == CheckOutcome::kRefused}});
+           {"refused", outcome == CheckOutcome::kRefused},
+           {"flows_continue", is_suspect && !IsConfirmedDown(table_, mark)}});
   terminated_.erase(mark);
   if (!TerminateFlowsOfSuspects(now)) on_change_(Urgency::kImmediate);
   ReportSuspects(now);
--- a/tests/core/server_health_test.cc
+++ b/tests/core/server_health_test.cc
@@ -221,6 +221,31 @@
             "the platform would have unlisted a server that ended");
 }
 
+// Guards against the reset of flows that other VMs had placed on a server after
+// it had been cut off for less than a second (review case 4).
+Test(server_health, flows_of_a_suspect_that_passes_checks_are_not_reset) {
+  HealthTable table = TableWithSuspect();
+  RecordServerResponse(table, kOtherServer, At(1'130));
+  cr_assert(IsConfirmedDown(table, kServer));
+  const TimePoint reused = At(1'000) + kReuse.min_delay;
+  RecordCheck(table, kServer, CheckOutcome::kPassed, {}, reused);
+  cr_expect(not IsConfirmedDown(table, kServer));
+  cr_expect(IsSuspect(table, kServer, reused), "it gets no new flows");
+  RecordTimeout(table, 3'500);
+  cr_expect(IsConfirmedDown(table, kServer));
+}
+
+Test(server_health, flows_of_a_server_that_refused_a_check_are_reset) {
+  HealthTable table;
+  RecordSilence(table, kServer, At(1'000), kMeanWait, At(1'100));
+  for (int i = 0; i < kFailuresToSuspect; ++i) {
+    RecordCheck(table, kServer, CheckOutcome::kRefused, {}, At(1'101 + i));
+  }
+  RecordServerResponse(table, kOtherServer, At(1'130));
+  RecordCheck(table, kServer, CheckOutcome::kPassed, {}, At(2'500));
+  cr_expect(IsConfirmedDown(table, kServer), "its process had ended");
+}
+
 Test(server_health, passed_check_after_a_refusal_does_not_clear_a_suspect) {
   HealthTable table;
   RecordSilence(table, kServer, At(1'000), kMeanWait, At(1'100));
