Let answers since the evidence began refute a failed check

Cause: one flow that waits starts a check, whose evidence is older than answers to other flows; these were recorded every 40 ms only, and three refused checks follow each other within milliseconds. Ruled out: attempts too close to each other; 25 ms apart they keep the rule, too, but find an ended process 50 to 75 ms later. Change: the last answer of the server is recorded before the outcome of a check counts.

--- a/lab/marks/sim_server.cc
+++ b/lab/marks/sim_server.cc
@@ -44,11 +44,15 @@
 void SimServer::SetState(SimServerState state, TimePoint now) {
   state_ = state;
   if (state == SimServerState::kDraining) draining_since_ = now;
-  if (state != SimServerState::kUnreachable) return;
+  if (state == SimServerState::kOverloaded && !flows_.empty()) {
+    unanswered_ = &flows_.begin()->second;
+  }
   // A crashed machine loses its flows and refuses connections. The UDP socket
   // stays bound, so that no other program gets the port.
-  flows_.clear();
-  tcp_ = FileDescriptor();
+  if (state == SimServerState::kUnreachable) flows_.clear();
+  const bool refuses = state == SimServerState::kUnreachable ||
+                       state == SimServerState::kOverloaded;
+  if (refuses) tcp_ = FileDescriptor();
 }
 
 void SimServer::Run(TimePoint now, ServerTotals& totals,
@@ -151,7 +155,7 @@
 
 void SimServer::ServeFlow(Flow& flow, TimePoint now, ServerTotals& totals,
                           std::set<std::string>& executed_requests) {
-  if (flow.endpoint == nullptr) return;
+  if (flow.endpoint == nullptr || &flow == unanswered_) return;
   flow.input += flow.endpoint->Read();
   while (const auto request = ConsumeHttpMessage(flow.input)) {
     ++totals.executed;
--- a/lab/marks/sim_server.h
+++ b/lab/marks/sim_server.h
@@ -35,6 +35,9 @@
   kDraining,
   // Drops every packet and refuses connections.
   kUnreachable,
+  // Refuses connections, as a server at its limit does, and answers the
+  // requests of all flows but one.
+  kOverloaded,
 };
 
 // Simulates a backend server that speaks the platform's packet protocol.
@@ -91,6 +94,8 @@
   FileDescriptor tcp_;
   SimServerState state_ = SimServerState::kServing;
   TimePoint draining_since_;
+  // The flow whose requests are not answered while overloaded.
+  const Flow* unanswered_ = nullptr;
   uint32_t next_server_sequence_ = 1'000'000;
   std::map<FlowId, Flow> flows_;
   std::set<std::string> requests_;
--- a/lab/marks/testbed.cc
+++ b/lab/marks/testbed.cc
@@ -110,6 +110,10 @@
   servers_.at(id)->SetState(SimServerState::kUnreachable, Now());
 }
 
+void MarksTestbed::Overload(const std::string& id) {
+  servers_.at(id)->SetState(SimServerState::kOverloaded, Now());
+}
+
 void MarksTestbed::Deregister(const std::string& id) {
   store_.Remove(absl::StrCat(names::kServersPrefix, id));
 }
--- a/lab/marks/testbed.h
+++ b/lab/marks/testbed.h
@@ -51,6 +51,8 @@
   void Drain(const std::string& id);
   // Stops the server without notice; its store entry remains.
   void Crash(const std::string& id);
+  // Makes the server refuse connections while it answers most requests.
+  void Overload(const std::string& id);
   // Deletes the server's store entry; the server keeps running.
   void Deregister(const std::string& id);
   // Writes the configuration with the routes of the plan's services and
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -180,6 +180,7 @@
                          (!fresh || (server.fact.draining && may_still_serve)),
       .listed = fresh && !server.unlisted};
   const bool was_suspect = IsSuspect(table_, mark, now);
+  RecordLastAnswer(mark);
   const bool could_terminate = IsConfirmedDown(table_, mark);
   const HealthVerdict result = RecordCheck(table_, mark, outcome, checked, now);
   if (result == HealthVerdict::kCheckAgain) StartCheck(mark, Duration(0));
@@ -198,6 +199,13 @@
   ReportSuspects(now);
 }
 
+void HealthMonitor::RecordLastAnswer(Mark mark) {
+  const auto traffic = flows_.Traffic();
+  const auto found = traffic.find(mark);
+  if (found == traffic.end()) return;
+  RecordServerResponse(table_, mark, found->second.last_answer);
+}
+
 void HealthMonitor::ReportSuspects(TimePoint now) {
   std::vector<Mark> suspects;
   for (const Mark mark : SuspectsToReport(table_, report_delay_, now)) {
--- a/servers/marks/health_monitor.h
+++ b/servers/marks/health_monitor.h
@@ -62,6 +62,9 @@
   // VM's own connectivity may be at fault.
   bool ReferenceCheckPasses(Mark mark);
   void HandleOutcome(Mark mark, CheckOutcome outcome);
+  // Records the last answer that any of the server's callers got. The evidence
+  // of a check may be one flow that waits while the others are answered.
+  void RecordLastAnswer(Mark mark);
   // Moves or resets the flows of new suspects. Returns false if there are none.
   bool TerminateFlowsOfSuspects(TimePoint now);
   void ReportSuspects(TimePoint now);
--- a/tests/lab/marks/testbed_test.cc
+++ b/tests/lab/marks/testbed_test.cc
@@ -293,6 +293,28 @@
   }
 }
 
+// Guards against the reset of all flows of a server that refuses connections,
+// because of one flow that waits, while the server answers the others (review
+// case 3).
+Test(marks_testbed, flows_of_an_overloaded_server_continue, .timeout = 120) {
+  Deployment deployment(1);
+  deployment.testbed.StartClients(40, 0);
+  cr_assert(deployment.testbed.RunUntil(
+      [&] { return deployment.testbed.SumTotals().responses > 1'000; },
+      kTimeout));
+  const auto checks = [&] {
+    const std::string metrics = deployment.vms[0]->Get("/metrics");
+    const size_t at = metrics.find("\nknapweedlift_checks_total");
+    return std::stod(metrics.substr(metrics.find(' ', at)));
+  };
+  deployment.testbed.Overload(deployment.servers[0]);
+  cr_expect(
+      deployment.testbed.RunUntil([&] { return checks() > 0; }, kTimeout));
+  deployment.testbed.Run(Duration(2'000));
+  const ClientTotals sum = deployment.Finish();
+  cr_expect(sum.reset_flows == 0, "%lu flows were reset", sum.reset_flows);
+}
+
 // Guards against a control thread that waits for the reader of its log for good
 // (KNOWN-RED 12): facts no longer changed and SIGTERM had no effect.
 Test(marks_testbed, follows_changes_while_nobody_reads_the_log,
