--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -180,8 +180,9 @@
                          changes.as_of >= registry_.as_of;
   if (changes.config.has_value()) {
     // A repair takes all routes, also those that seem to be unchanged.
-    AddConfigChanges(is_repair ? Registry{} : registry_, changes.config->config,
-                     changes.config->revision, delta);
+    const Registry none;
+    AddConfigChanges(is_repair ? none : std::as_const(registry_),
+                     changes.config->config, changes.config->revision, delta);
   }
   const Revision before = registry_.as_of;
   if (!MergeChanges(delta, is_repair, now)) return;
