--- a/lab/mark_benchmark.cc
+++ b/lab/mark_benchmark.cc
@@ -9,6 +9,7 @@
 #include "core/placement/load_estimate.h"
 #include "core/placement/mark_decision.h"
 #include "core/placement/placement.h"
+#include "core/registry/facts_digest.h"
 
 namespace knapweedlift {
 namespace {
@@ -164,6 +165,16 @@
     ->Args({161, 39})
     ->Args({180, 1'600});
 
+// A digest is computed for each change of the facts.
+void Digests(benchmark::State& state) {
+  const Registry registry = MakeRegistry(static_cast<size_t>(state.range(0)),
+                                         static_cast<size_t>(state.range(1)));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(ComputeFactsDigest(registry));
+  }
+}
+BENCHMARK(Digests)->Args({161, 39})->Args({1'500, 39})->Args({18, 1'600});
+
 // Each VM updates its load estimate ten times per second, from the load that
 // eight peers report for the servers of their failure domain and from the loads
 // of the other domains.
