Play histories of the configuration against real processes

`knapweedlift-lab soak config` starts the binary as separate processes beside the store, servers and clients of the testbed, plays a seeded schedule (changes that are undone, deaf watches and dropped history, failing store, rolling stops, kills, standstills, slow VMs, an unreadable configuration), probes every VM past the routers, and checks the rule CONFIG on what backend servers and clients saw.

--- a/lab/main.cc
+++ b/lab/main.cc
@@ -17,6 +17,7 @@
 #include "lab/platform.h"
 #include "lab/policy/bench.h"
 #include "lab/report.h"
+#include "lab/soak/config_soak.h"
 #include "lab/stop_signal.h"
 
 namespace knapweedlift::lab {
@@ -44,6 +45,9 @@
   knapweedlift-lab bench placement [--scenario S] [--strategy P] [--seed N]
                           [--seeds N]
   knapweedlift-lab bench forward [--seconds N] [--rounds N] [--flows N]
+  knapweedlift-lab soak config --binary PATH --directory DIR [--seed N]
+                          [--seeds N] [--vms N] [--rounds N]
+                          [--core-percent N]
   knapweedlift-lab (-h | --help)
 
 Options:
@@ -59,6 +63,7 @@
   --sheet FILE       Sheet with the services and backend servers.
   --vm-list FILE     The platform's list of VMs.
   --result FILE      Result file to write, as JSON.
+  --binary PATH      The program knapweedlift that each VM runs.
   --vms N          Number of VMs of the deployment [default: 6].
   --loss P         Probability of packet loss, 0 to 1 [default: 0].
   --reorder P      Probability of reordering a packet, 0 to 1 [default: 0].
@@ -69,8 +74,10 @@
   --seeds N        Number of consecutive seeds, from --seed on [default: 1].
   --scenario S     Run this scenario only.
   --strategy P     Run this strategy only.
-  --rounds N       Number of measurements of each kind [default: 5].
+  --rounds N       Number of measurements of each kind, or of rounds of
+                   trouble of 10 s each [default: 5].
   --flows N        Flows of the forwarding benchmark [default: 10000].
+  --core-percent N   Part of a core that each VM gets [default: 100].
   --fleet N        Number of VMs, instead of the tenant's own.
   --small          Use a smaller deployment of the same structure.
   --json           Print one JSON object per line.
@@ -195,6 +202,16 @@
                    StringArgument(arguments, "--target"),
                    StringArgument(arguments, "--file"));
   }
+  if (arguments.at("soak").asBool()) {
+    return RunConfigSoak(
+        {.binary = StringArgument(arguments, "--binary"),
+         .directory = StringArgument(arguments, "--directory"),
+         .first_seed = IntegerArgument(arguments, "--seed"),
+         .seeds = IntegerArgument(arguments, "--seeds"),
+         .vms = IntegerArgument(arguments, "--vms"),
+         .rounds = IntegerArgument(arguments, "--rounds"),
+         .core_percent = IntegerArgument(arguments, "--core-percent")});
+  }
   if (arguments.at("report").asBool()) {
     return RunReport(arguments.at("RESULT").asStringList(),
                      IntegerArgument(arguments, "--control-bytes"));
--- a/lab/marks/demo.cc
+++ b/lab/marks/demo.cc
@@ -18,38 +18,14 @@
 // The traffic runs in phases of equal length, with changes between them.
 constexpr int64_t kPhaseCount = 5;
 
-Endpoint EndpointAt(const RoutedVm& vm, uint16_t port) {
-  return {.address = vm.data.address, .port = port};
-}
-
-std::string Quoted(const Endpoint& endpoint) {
-  return absl::StrCat("\"", FormatEndpoint(endpoint), "\"");
-}
-
-std::string VmSettings(const MarksPlan& plan, size_t index,
-                       const Endpoint& platform) {
-  const RoutedVm& vm = plan.vms[index];
-  return absl::StrCat(
-      "[transport]\nkind = \"marks\"\n\n[vm]\nname = \"vm-", index + 1,
-      "\"\nfailure_domain = \"", vm.domain,
-      "\"\ncontrol = ", Quoted(EndpointAt(vm, plan.control_port)),
-      "\ndata = ", Quoted(vm.data), "\nready = ", Quoted(vm.ready),
-      "\nadmin = ", Quoted(EndpointAt(vm, plan.admin_port)),
-      "\n\n[peers]\nseeds = [",
-      Quoted(EndpointAt(plan.vms.front(), plan.control_port)), ", ",
-      Quoted(EndpointAt(plan.vms.back(), plan.control_port)),
-      "]\n\n[platform]\naddress = ", Quoted(platform),
-      "\n\n[deployment]\nnumber = 1\nhash_key = 7\n\n[shutdown]\n"
-      "drain_timeout_ms = 4500\n");
-}
-
 void WriteSettings(const MarksDemoOptions& options, const MarksPlan& plan,
                    const Endpoint& platform) {
   std::filesystem::create_directories(options.directory);
   std::string addresses;
   for (size_t i = 0; i < plan.vms.size(); ++i) {
-    WriteTextFile(absl::StrCat(options.directory, "/vm-", i + 1, ".toml"),
-                  VmSettings(plan, i, platform));
+    WriteTextFile(
+        absl::StrCat(options.directory, "/vm-", i + 1, ".toml"),
+        FormatVmSettings(plan, i, platform, {0, plan.vms.size() - 1}));
     absl::StrAppend(&addresses, "admin_", i + 1, "=",
                     FormatEndpoint(EndpointAt(plan.vms[i], plan.admin_port)),
                     "\n");
--- a/lab/marks/fake_store.cc
+++ b/lab/marks/fake_store.cc
@@ -153,17 +153,18 @@
       absl::MutexLock lock(&mutex_);
       if (after < compacted_revision_) return {.status = kHttpGone};
       json events = json::array();
+      const bool deaf = watches_deaf_;
       for (const Event& event : history_) {
-        if (event.revision <= after) continue;
+        if (deaf || event.revision <= after) continue;
         events.push_back(ItemJson(event.key, event.value, event.revision));
         if (!event.removed) continue;
         events.back().erase(names::kValue);
         events.back()[names::kDeleted] = true;
       }
       if (!events.empty() || Now() >= deadline || stopping_) {
-        return {.body =
-                    json{{names::kEvents, events}, {names::kAsOf, revision_}}
-                        .dump()};
+        return {.body = json{{names::kEvents, events},
+                             {names::kAsOf, deaf ? after : revision_}}
+                            .dump()};
       }
     }
     boost::this_fiber::sleep_for(kWatchPollInterval);
--- a/lab/marks/fake_store.h
+++ b/lab/marks/fake_store.h
@@ -47,6 +47,9 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
 
+  // While deaf, watches hear of no change; reads show it.
+  void SetWatchesDeaf(bool deaf) { watches_deaf_ = deaf; }
+
   // Drops the history; watches from an older revision fail with HTTP status
   // 410.
   void CompactHistory();
@@ -85,6 +88,7 @@
   uint64_t compacted_revision_ ABSL_GUARDED_BY(mutex_) = 1;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::atomic<uint64_t> request_count_{0};
+  std::atomic<bool> watches_deaf_{false};
   std::atomic<bool> stopping_{false};
 };
 
--- a/lab/marks/sim_server.cc
+++ b/lab/marks/sim_server.cc
@@ -129,6 +129,7 @@
 
 void SimServer::HandleSyn(const Segment& segment, const FlowId& id,
                           TimePoint now, ServerTotals& totals) {
+  if (syn_filter_ && !syn_filter_(segment.header, *this, now)) return;
   auto found = flows_.find(id);
   if (found == flows_.end() ||
       found->second.client_sequence != segment.header.sequence) {
--- a/lab/marks/sim_server.h
+++ b/lab/marks/sim_server.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLIFT_LAB_MARKS_SIM_SERVER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -51,6 +52,12 @@
 
   void SetState(SimServerState state, TimePoint now);
 
+  // Sees each SYN that this server gets, and returns false to drop it, as a
+  // server without room does.
+  using SynFilter = std::function<bool(const platform::PacketHeader& syn,
+                                       const SimServer& server, TimePoint now)>;
+  void SetSynFilter(const SynFilter& filter) { syn_filter_ = filter; }
+
   // Processes received packets and sends what is due. `executed_requests` holds
   // the ids of the requests that any server has executed.
   void Run(TimePoint now, ServerTotals& totals,
@@ -94,6 +101,7 @@
   FileDescriptor tcp_;
   SimServerState state_ = SimServerState::kServing;
   TimePoint draining_since_;
+  SynFilter syn_filter_;
   // The flow whose requests are not answered while overloaded.
   const Flow* unanswered_ = nullptr;
   uint32_t next_server_sequence_ = 1'000'000;
--- a/lab/marks/testbed.cc
+++ b/lab/marks/testbed.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
 #include "drivers/clock.h"
 #include "platform/names.h"
 
@@ -39,6 +40,10 @@
   }
 }
 
+std::string Quoted(const Endpoint& endpoint) {
+  return absl::StrCat("\"", FormatEndpoint(endpoint), "\"");
+}
+
 double Percentile(std::vector<double> values, double quantile) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
@@ -67,6 +72,40 @@
   return plan;
 }
 
+std::string FormatConfig(uint64_t version, const RouteServices& routes) {
+  json list = json::array();
+  for (const auto& [address, service] : routes) {
+    list.push_back({{names::kHost, FormatIpAddress(address.address)},
+                    {names::kPort, absl::StrCat("/", address.port, "/")},
+                    {names::kService, service}});
+  }
+  return json{{names::kVersion, version},
+              {names::kRoutes, list},
+              {names::kLimits, {{names::kIdleTimeoutMs, 15'000}}}}
+      .dump();
+}
+
+std::string FormatVmSettings(const MarksPlan& plan, size_t index,
+                             const Endpoint& platform,
+                             const std::vector<size_t>& seeds) {
+  const RoutedVm& vm = plan.vms[index];
+  std::vector<std::string> seed_texts;
+  seed_texts.reserve(seeds.size());
+  for (const size_t seed : seeds) {
+    seed_texts.push_back(Quoted(EndpointAt(plan.vms[seed], plan.control_port)));
+  }
+  return absl::StrCat(
+      "[transport]\nkind = \"marks\"\n\n[vm]\nname = \"vm-", index + 1,
+      "\"\nfailure_domain = \"", vm.domain,
+      "\"\ncontrol = ", Quoted(EndpointAt(vm, plan.control_port)),
+      "\ndata = ", Quoted(vm.data), "\nready = ", Quoted(vm.ready),
+      "\nadmin = ", Quoted(EndpointAt(vm, plan.admin_port)),
+      "\n\n[peers]\nseeds = [", absl::StrJoin(seed_texts, ", "),
+      "]\n\n[platform]\naddress = ", Quoted(platform),
+      "\n\n[deployment]\nnumber = 1\nhash_key = 7\n\n[shutdown]\n"
+      "drain_timeout_ms = 4500\n");
+}
+
 MarksTestbed::MarksTestbed(const MarksPlan& plan)
     : plan_(plan), store_endpoint_(store_.AddListener()), router_(plan.vms) {}
 
@@ -79,6 +118,7 @@
       id, instance, service, Endpoint{.address = LoopbackAddress(3, number)},
       plan_.data_port);
   if (!server->Open()) return {};
+  server->SetSynFilter(syn_filter_);
   server_domains_[id] = domain;
   PublishServer(*server, domain, names::kStateReady);
   servers_[id] = std::move(server);
@@ -119,23 +159,17 @@
 }
 
 void MarksTestbed::PutConfig(uint64_t version, int extra_routes) {
-  json routes = json::array();
+  RouteServices routes;
   for (const ServiceAddress& service : plan_.services) {
-    routes.push_back(
-        {{names::kHost, FormatIpAddress(service.address.address)},
-         {names::kPort, absl::StrCat("/", service.address.port, "/")},
-         {names::kService, service.name}});
+    routes[service.address] = service.name;
   }
   for (int i = 0; i < extra_routes; ++i) {
-    routes.push_back({{names::kHost, absl::StrCat("198.19.0.", i % 250 + 1)},
-                      {names::kPort, absl::StrCat("/", 1'000 + i, "/")},
-                      {names::kService, plan_.services[0].name}});
+    const Endpoint route{
+        .address = *ParseIpAddress(absl::StrCat("198.19.0.", i % 250 + 1)),
+        .port = static_cast<uint16_t>(1'000 + i)};
+    routes[route] = plan_.services[0].name;
   }
-  store_.Put(names::kConfigKey,
-             json{{names::kVersion, version},
-                  {names::kRoutes, routes},
-                  {names::kLimits, {{names::kIdleTimeoutMs, 15'000}}}}
-                 .dump());
+  store_.Put(names::kConfigKey, FormatConfig(version, routes));
 }
 
 void MarksTestbed::StartClients(int long_flows, double short_flows_per_second) {
--- a/lab/marks/testbed.h
+++ b/lab/marks/testbed.h
@@ -30,9 +30,26 @@
   auto operator<=>(const MarksPlan&) const = default;
 };
 
+// Returns the endpoint of a VM at one of the plan's ports.
+inline Endpoint EndpointAt(const RoutedVm& vm, uint16_t port) {
+  return {.address = vm.data.address, .port = port};
+}
+
 // Returns a plan for `vms` VMs in three failure domains.
 MarksPlan PlanMarks(size_t vms);
 
+// The service of each route of a configuration.
+using RouteServices = std::map<Endpoint, std::string>;
+
+// Returns a configuration as the operator writes it to the store.
+std::string FormatConfig(uint64_t version, const RouteServices& routes);
+
+// Returns the settings file of the plan's VM with the index. `seeds` are
+// indexes of VMs.
+std::string FormatVmSettings(const MarksPlan& plan, size_t index,
+                             const Endpoint& platform,
+                             const std::vector<size_t>& seeds);
+
 // The environment of the VMs: metadata store, routers, backend servers and
 // clients. Servers and clients run in the calling thread, the store and the
 // routers' probes in threads of their own.
@@ -47,6 +64,10 @@
   // Starts a server and registers it in the store. Returns its id, or an empty
   // string if its sockets cannot be bound.
   std::string AddServer(const std::string& service, const std::string& domain);
+  // Sets the filter of the servers that are added from now on.
+  void SetSynFilter(const SimServer::SynFilter& filter) {
+    syn_filter_ = filter;
+  }
   // Marks the server as draining in the store; it still serves its flows.
   void Drain(const std::string& id);
   // Stops the server without notice; its store entry remains.
@@ -93,6 +114,7 @@
   std::vector<std::unique_ptr<SimClients>> clients_;
   ServerTotals server_totals_;
   std::set<std::string> executed_requests_;
+  SimServer::SynFilter syn_filter_;
   uint8_t next_server_ = 1;
 };
 
--- /dev/null
+++ b/lab/soak/config_schedule.h
@@ -0,0 +1,74 @@
+#ifndef KNAPWEEDLIFT_LAB_SOAK_CONFIG_SCHEDULE_H_
+#define KNAPWEEDLIFT_LAB_SOAK_CONFIG_SCHEDULE_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "lab/marks/fake_store.h"
+
+namespace knapweedlift::lab {
+
+enum class SoakAction : uint8_t {
+  // The operator writes a version in which the changing route leads to the
+  // other service.
+  kFlipRoute,
+  // The operator writes a version that drops a route or adds it again.
+  kToggleRoute,
+  // The operator writes a version that only adds a route of its own.
+  kAddRoute,
+  // Something unreadable is in place of the configuration, until the next one.
+  kUnreadableConfig,
+  // Signals to the process of a VM.
+  kTerminate,
+  kKill,
+  kFreeze,
+  kThaw,
+  // A VM gets a tenth of a core from kStartSlow to kEndSlow.
+  kStartSlow,
+  kEndSlow,
+  // The watches of all listeners of the store hear nothing.
+  kDeafenWatches,
+  // The store drops its history, and the watches are cut.
+  kDropHistory,
+  // Sets the mode of one of the store's listeners.
+  kSetStoreMode,
+};
+
+struct SoakEvent {
+  // Since the start of the schedule.
+  Duration at{0};
+  SoakAction action = SoakAction::kFlipRoute;
+  // The VM, or the listener of the store.
+  size_t target = 0;
+  StoreMode mode = StoreMode::kServe;
+
+  auto operator<=>(const SoakEvent&) const = default;
+};
+
+struct ConfigSchedule {
+  // In the order of their times.
+  std::vector<SoakEvent> events;
+  // The kinds of trouble, in the order of the rounds.
+  std::vector<std::string> rounds;
+
+  auto operator<=>(const ConfigSchedule&) const = default;
+};
+
+inline constexpr Duration kSoakRoundLength{10'000};
+
+// Returns a schedule of consecutive rounds, each with one kind of trouble, that
+// follows from the seed alone. `seed_vms` lists the VMs that others find the
+// fleet by.
+ConfigSchedule MakeConfigSchedule(uint64_t seed, size_t rounds, size_t vms,
+                                  const std::vector<size_t>& seed_vms,
+                                  size_t listeners);
+
+// Returns the name of an action for records.
+const char* SoakActionName(SoakAction action);
+
+}  // namespace knapweedlift::lab
+
+#endif  // KNAPWEEDLIFT_LAB_SOAK_CONFIG_SCHEDULE_H_
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -76,6 +76,7 @@
        {"phase", PhaseName(fleet.phase)},
        {"revision", context.registry.as_of},
        {"config_version", context.registry.limits.limits.version},
+       {"facts_digest", context.registry.digest},
        {"facts_confirmed_ms_ago", FactsAgeMs(context, now)},
        {"fresh", FactsAreFresh(fleet, now)},
        {"watching", fleet.watching},
