Place copies of a SYN anew once their route has changed

Cause: a further copy of a SYN followed the first one whatever the route says by then. A full server drops the first copies; if it has room for the last one, 0.6 s later, it takes a flow of a route that may have changed meanwhile.

The test mark_decision/retransmitted_syn_leaves_the_former_service_of_its_route failed before the change.

A copy now follows the first SYN only while the route leads to that server's service; otherwise it is placed as a new SYN.

--- a/core/placement/mark_decision.cc
+++ b/core/placement/mark_decision.cc
@@ -1,5 +1,7 @@
 #include "core/placement/mark_decision.h"
 
+#include <algorithm>
+
 #include "core/placement/placement.h"
 
 namespace knapweedlift {
@@ -25,17 +27,29 @@
           .server = server};
 }
 
+bool LeadsTo(const RouteTarget& route, uint32_t service_index) {
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [service_index](const WeightedService& service) {
+                       return service.service_index == service_index;
+                     });
+}
+
 // Returns the server that an earlier copy of the SYN was sent to, unless that
 // server is suspect. Two servers that answer the same SYN would break its flow.
-ServerIndex ServerOfOriginalSyn(const MarkView& view,
+// If the route no longer leads to the server's service, the copy is placed as a
+// new SYN: a server that has not answered the first one is unlikely to hold the
+// flow.
+ServerIndex ServerOfOriginalSyn(const MarkView& view, const RouteTarget& route,
                                 const MarkedPacket& packet,
                                 const MarkedFlow* flow) {
   const bool retransmission =
       flow != nullptr && flow->syn_sequence == packet.sequence;
   if (!retransmission) return kNoServerIndex;
-  const ServerIndex server = FindServerByMark(view, flow->mark);
-  if (server >= view.servers.size()) return kNoServerIndex;
-  return view.servers[server].suspect ? kNoServerIndex : server;
+  const ServerIndex index = FindServerByMark(view, flow->mark);
+  if (index >= view.servers.size()) return kNoServerIndex;
+  const ServerTarget& server = view.servers[index];
+  const bool usable = !server.suspect && LeadsTo(route, server.service_index);
+  return usable ? index : kNoServerIndex;
 }
 
 }  // namespace
@@ -53,7 +67,8 @@
     if (packet.mark == kNoMark) return Drop(ResultCode::kDropNoMark);
     return DecideByMark(view, packet.mark);
   }
-  const ServerIndex original = ServerOfOriginalSyn(view, packet, flow);
+  const ServerIndex original =
+      ServerOfOriginalSyn(view, route->second, packet, flow);
   if (original != kNoServerIndex) {
     return {.verdict = MarkVerdict::kForward,
             .reason = ResultCode::kForwardedKnownOpening,
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -204,6 +204,35 @@
   cr_expect(NameOf(view, decision.server) == Server(2).name);
 }
 
+// A copy of a SYN must not go to the former service of a route that has changed
+// since the first one, which a full server may have dropped.
+Test(mark_decision, retransmitted_syn_leaves_the_former_service_of_its_route) {
+  const MarkView view = ViewOf({Server(1, "a", "catalogue"), Server(2)});
+  const MarkedFlow flow{.mark = Server(1).mark, .syn_sequence = 9};
+  const MarkDecision decision =
+      DecideMarkedPacket(view, Syn(2), &flow, 7, At(0));
+  cr_expect(decision.reason == ResultCode::kForwardedPlaced);
+  cr_expect(NameOf(view, decision.server) == Server(2).name);
+}
+
+// With weights, every service of the route is allowed, whichever one the copy
+// itself would be placed on.
+Test(mark_decision, retransmitted_syn_stays_with_any_service_of_its_route) {
+  Registry registry =
+      RegistryOf({Server(1, "a", "catalogue"), Server(2), Server(3)});
+  registry.routes.begin()->second.fact.shares = {
+      {.service = "atelier", .weight = 9},
+      {.service = "catalogue", .weight = 1}};
+  ViewBuildState state;
+  const MarkView view = BuildMarkView(registry, {}, "a", At(300), state);
+  for (uint64_t fingerprint = 0; fingerprint < 20; ++fingerprint) {
+    const MarkedFlow flow{.mark = Server(1).mark, .syn_sequence = 9};
+    const MarkDecision decision =
+        DecideMarkedPacket(view, Syn(1), &flow, fingerprint, At(0));
+    cr_expect(NameOf(view, decision.server) == Server(1).name);
+  }
+}
+
 Test(mark_decision, new_flow_is_reset_if_all_servers_are_confirmed_down) {
   const auto decide = [](bool others_answer) {
     const MarkView view = ViewOf({Server(1)}, SuspectOf(1, others_answer));
