--- a/lab/marks/fake_store.cc
+++ b/lab/marks/fake_store.cc
@@ -128,6 +128,9 @@
 HttpResponse FakeStore::HandleRange(const std::string& target) {
   const std::string prefix = QueryParameter(target, names::kPrefix);
   const std::string after = QueryParameter(target, names::kAfter);
+  if (later_pages_slow_ && !after.empty()) {
+    boost::this_fiber::sleep_for(kSlowResponseDelay);
+  }
   absl::MutexLock lock(&mutex_);
   json page = json::array();
   bool has_more = false;
--- a/lab/marks/fake_store.h
+++ b/lab/marks/fake_store.h
@@ -50,6 +50,10 @@
   // While deaf, watches hear of no change; reads show it.
   void SetWatchesDeaf(bool deaf) { watches_deaf_ = deaf; }
 
+  // Delays all pages of a read but the first one, so that entries change in
+  // between.
+  void SetLaterPagesSlow(bool slow) { later_pages_slow_ = slow; }
+
   // Drops the history; watches from an older revision fail with HTTP status
   // 410.
   void CompactHistory();
@@ -89,6 +93,7 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::atomic<uint64_t> request_count_{0};
   std::atomic<bool> watches_deaf_{false};
+  std::atomic<bool> later_pages_slow_{false};
   std::atomic<bool> stopping_{false};
 };
 
--- a/lab/marks/sim_clients.cc
+++ b/lab/marks/sim_clients.cc
@@ -26,6 +26,7 @@
   sum.established += totals.established;
   sum.responses += totals.responses;
   sum.reset_flows += totals.reset_flows;
+  sum.flows_reset_by_vms += totals.flows_reset_by_vms;
   sum.refused_flows += totals.refused_flows;
   sum.timeouts += totals.timeouts;
   sum.wrong_service += totals.wrong_service;
@@ -114,7 +115,8 @@
       segment.header.source_port == flow.key.destination_port;
   if (!from_service) return;
   if (HasFlag(segment, platform::kFlagRst)) {
-    HandleReset(flow);
+    // VMs do not know the key of the checksum.
+    HandleReset(flow, segment.header.checksum == 0);
     return;
   }
   if (HasFlag(segment, platform::kFlagSyn)) {
@@ -131,7 +133,7 @@
                                [&](const Segment& out) { Send(out, router); });
 }
 
-void SimClients::HandleReset(Flow& flow) {
+void SimClients::HandleReset(Flow& flow, bool sent_by_vm) {
   if (flow.endpoint == nullptr) {
     FailFlow(flow, &ClientTotals::refused_flows);
     return;
@@ -140,6 +142,7 @@
     flow.closed = true;
     return;
   }
+  if (sent_by_vm) ++totals_[flow.service].flows_reset_by_vms;
   FailFlow(flow, &ClientTotals::reset_flows);
 }
 
--- a/lab/marks/sim_clients.h
+++ b/lab/marks/sim_clients.h
@@ -30,6 +30,8 @@
   uint64_t responses = 0;
   // Established flows that were reset before the server had closed them.
   uint64_t reset_flows = 0;
+  // Those of them that a VM reset, and not a server.
+  uint64_t flows_reset_by_vms = 0;
   // Flows that were reset before they were established.
   uint64_t refused_flows = 0;
   // Flows that ended because a handshake, a response or an acknowledgement did
@@ -88,7 +90,7 @@
   void SendSyn(Flow& flow, TimePoint now, const SimRouter& router);
   void HandleSegment(const Segment& segment, TimePoint now,
                      const SimRouter& router);
-  void HandleReset(Flow& flow);
+  void HandleReset(Flow& flow, bool sent_by_vm);
   void RunFlow(Flow& flow, TimePoint now, const SimRouter& router);
   void HandleResponses(Flow& flow, TimePoint now);
   void SendRequest(Flow& flow, TimePoint now);
--- a/lab/marks/sim_server.cc
+++ b/lab/marks/sim_server.cc
@@ -106,6 +106,7 @@
   const auto found = flows_.find(id);
   if (found == flows_.end()) {
     if (HasFlag(segment, platform::kFlagRst)) return;
+    if (!opened_flows_.contains(id)) ++totals.foreign_packets;
     Segment reset{.header = MakeReplyHeader(segment.header)};
     reset.header.flags = platform::kFlagRst;
     reset.header.sequence = segment.header.acknowledged;
@@ -137,6 +138,7 @@
                       now - draining_since_ > kNewFlowGracePeriod;
     if (late) ++totals.late_flows;
     flows_.erase(id);
+    opened_flows_.insert(id);
     next_server_sequence_ += 100'000;
     found = flows_
                 .emplace(id, Flow{.client_sequence = segment.header.sequence,
--- a/lab/marks/sim_server.h
+++ b/lab/marks/sim_server.h
@@ -25,6 +25,8 @@
   uint64_t invalid_packets = 0;
   // Flows opened on a draining server after its grace period.
   uint64_t late_flows = 0;
+  // Packets of flows that the server never held, which it answers with a reset.
+  uint64_t foreign_packets = 0;
 
   auto operator<=>(const ServerTotals&) const = default;
 };
@@ -106,6 +108,8 @@
   const Flow* unanswered_ = nullptr;
   uint32_t next_server_sequence_ = 1'000'000;
   std::map<FlowId, Flow> flows_;
+  // Flows that this server held at any time.
+  std::set<FlowId> opened_flows_;
   std::set<std::string> requests_;
   ReceiveBatch batch_;
 };
--- a/lab/soak/config_schedule.h
+++ b/lab/soak/config_schedule.h
@@ -33,6 +33,9 @@
   kDeafenWatches,
   // The store drops its history, and the watches are cut.
   kDropHistory,
+  // Entries change between the pages of a read.
+  kSlowPages,
+  kFastPages,
   // Sets the mode of one of the store's listeners.
   kSetStoreMode,
 };
--- a/lab/soak/soak_fleet.cc
+++ b/lab/soak/soak_fleet.cc
@@ -157,6 +157,14 @@
   }
 }
 
+void SoakFleet::RunAtFullSpeed() {
+  settings_.core_percent = kFullPercent;
+  for (const auto& vm : vms_) {
+    vm->standing_still = false;
+    UpdateStandstill(*vm);
+  }
+}
+
 bool SoakFleet::IsInRotation(size_t vm, TimePoint now) const {
   const Vm& queried = *vms_[vm];
   return queried.process.running() &&
--- a/lab/soak/soak_fleet.h
+++ b/lab/soak/soak_fleet.h
@@ -45,8 +45,10 @@
   // standing still.
   void Run(TimePoint now);
 
-  // Lets all VMs run at full speed.
+  // Ends the faults of VMs that stand still or are slow.
   void EndFaults(TimePoint now);
+  // Gives each VM all of a core from now on.
+  void RunAtFullSpeed();
 
   size_t size() const { return vms_.size(); }
   uint32_t incarnation(size_t vm) const { return vms_[vm]->incarnation; }
