Hold back signals until the daemon handles them

Cause: between its first instruction and the installation of its handlers the daemon had the default actions, so that SIGHUP, sent when the settings file changes, ended it. A process that ends by itself counts against the fleet, and the VM serves later.

`serve` now blocks SIGHUP, SIGINT and SIGTERM first and unblocks them once they are handled, so that no reload is lost.

--- a/main/commands.cc
+++ b/main/commands.cc
@@ -35,6 +35,17 @@
   if (reload_running_daemon) reload_running_daemon();
 }
 
+// Blocks or unblocks the signals that a daemon handles, for the calling thread
+// and those that it starts.
+void MaskDaemonSignals(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGHUP, SIGINT, SIGTERM}) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 // Runs the daemon until a signal stops it.
 template <typename DaemonType>
 int RunDaemon(DaemonType& daemon) {
@@ -53,6 +64,7 @@
   std::signal(SIGHUP, HandleReloadSignal);
   // The log may be a pipe whose reader has ended.
   std::signal(SIGPIPE, SIG_IGN);
+  MaskDaemonSignals(SIG_UNBLOCK);
   daemon.Run();
   stop_running_daemon = nullptr;
   reload_running_daemon = nullptr;
@@ -198,6 +210,9 @@
 }  // namespace
 
 int RunServe(const std::string& settings_path, bool check_only) {
+  // A signal that comes before the daemon can handle it would end the process;
+  // a reload is no reason to.
+  if (!check_only) MaskDaemonSignals(SIG_BLOCK);
   const auto text = ReadFile(settings_path);
   if (!text.has_value()) return kExitUsage;
   const SettingsResult result = ParseSettings(*text, settings_path);
--- a/tests/main/commands_test.cc
+++ b/tests/main/commands_test.cc
@@ -1,6 +1,11 @@
 #include "main/commands.h"
 
+#include <unistd.h>
+
 #include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <string>
 #include <thread>
 
@@ -30,8 +35,48 @@
   return exit_code;
 }
 
+// Writes settings of a daemon with marks whose addresses no other test uses.
+std::string WriteMarkSettings() {
+  const int process = getpid();
+  const std::string host = "127." + std::to_string(100 + process / 65'536) +
+                           "." + std::to_string(process / 256 % 256) + "." +
+                           std::to_string(process % 256);
+  const std::string path =
+      std::filesystem::temp_directory_path() /
+      ("knapweedlift-" + std::to_string(process) + ".toml");
+  std::ofstream(path) << "[transport]\nkind = \"marks\"\n[vm]\nname = \"vm\"\n"
+                      << "failure_domain = \"a\"\n"
+                      << "control = \"" << host << ":7000\"\n"
+                      << "data = \"" << host << ":7001\"\n"
+                      << "ready = \"" << host << ":7002\"\n"
+                      << "admin = \"" << host << ":7003\"\n"
+                      << "[peers]\nseeds = []\n"
+                      << "[platform]\naddress = \"" << host << ":7004\"\n"
+                      << "[deployment]\nnumber = 1\nhash_key = 7\n";
+  return path;
+}
+
+void BlockSignals(const std::initializer_list<int>& signals) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : signals) sigaddset(&set, signal);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 }  // namespace
 
+// Guards against a daemon that ends because its settings change while it
+// starts: signals wait until it can handle them.
+Test(commands, serve_handles_signals_that_came_during_the_start,
+     .timeout = 60) {
+  const std::string path = WriteMarkSettings();
+  BlockSignals({SIGHUP, SIGTERM});
+  raise(SIGHUP);
+  raise(SIGTERM);
+  cr_expect(RunServe(path, false) == kExitOk);
+  std::filesystem::remove(path);
+}
+
 // Guards against an exception that ended the command.
 Test(commands, status_rejects_a_response_of_another_program) {
   for (const char* body :
