Announce the switches of fibers to the sanitizers

The event loop, which picks the next fiber, now announces each switch in builds with sanitizers; in others the call is empty.

--- a/drivers/event_loop.cc
+++ b/drivers/event_loop.cc
@@ -109,6 +109,7 @@
   if (ready_.empty()) return nullptr;
   boost::fibers::context* next = &ready_.front();
   ready_.pop_front();
+  sanitizer_.AnnounceSwitch(*next);
   return next;
 }
 
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "core/time.h"
+#include "drivers/fiber_sanitizer.h"
 #include "drivers/socket.h"
 
 namespace knapweedlift {
@@ -55,6 +56,7 @@
   boost::fibers::scheduler::ready_queue_type ready_;
   uint64_t next_id_ = 1;
   std::map<uint64_t, Waiter*> waiters_;
+  FiberSanitizer sanitizer_;
 };
 
 }  // namespace knapweedlift
--- /dev/null
+++ b/drivers/fiber_sanitizer.h
@@ -0,0 +1,26 @@
+#ifndef KNAPWEEDLIFT_DRIVERS_FIBER_SANITIZER_H_
+#define KNAPWEEDLIFT_DRIVERS_FIBER_SANITIZER_H_
+
+#include <boost/fiber/context.hpp>
+
+namespace knapweedlift {
+
+// Tells AddressSanitizer and ThreadSanitizer which fiber of a thread runs,
+// since the packaged Boost.Fiber does not. Does nothing in other builds.
+class FiberSanitizer {
+ public:
+  // Must be called right before the thread switches to `next`.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  void AnnounceSwitch(boost::fibers::context& next);
+#else
+  void AnnounceSwitch(boost::fibers::context& /*next*/) {}
+#endif
+
+ private:
+  // A switch was announced whose end is not.
+  bool switching_ = false;
+};
+
+}  // namespace knapweedlift
+
+#endif  // KNAPWEEDLIFT_DRIVERS_FIBER_SANITIZER_H_
