Return to a thread's first fiber before ThreadSanitizer forgets the last

At the end of a thread Boost.Fiber returns to the first context without a call of the event loop, so that ThreadSanitizer's state of the dispatcher ended while it was the present one, and each daemon crashed after its last log line.

--- a/drivers/fiber_sanitizer.cc
+++ b/drivers/fiber_sanitizer.cc
@@ -19,10 +19,17 @@
 // ThreadSanitizer's state of a fiber, which ends with the fiber's context.
 class TrackedFiber : public boost::fibers::fiber_properties {
  public:
-  TrackedFiber(boost::fibers::context* context, void* state, bool owned)
-      : fiber_properties(context), state_(state), owned_(owned) {}
+  // `thread_state` is that of the thread's first context.
+  TrackedFiber(boost::fibers::context* context, void* state, void* thread_state)
+      : fiber_properties(context), state_(state), thread_state_(thread_state) {}
   ~TrackedFiber() override {
-    if (owned_) __tsan_destroy_fiber(state_);
+    if (state_ == thread_state_) return;
+    // At the end of a thread Boost.Fiber returns to the first context without a
+    // call of the event loop.
+    if (__tsan_get_current_fiber() == state_) {
+      __tsan_switch_to_fiber(thread_state_, 0);
+    }
+    __tsan_destroy_fiber(state_);
   }
   TrackedFiber(const TrackedFiber&) = delete;
   TrackedFiber& operator=(const TrackedFiber&) = delete;
@@ -31,7 +38,7 @@
 
  private:
   void* state_;
-  bool owned_;
+  void* thread_state_;
 };
 
 }  // namespace
@@ -39,14 +46,15 @@
 void FiberSanitizer::AnnounceSwitch(boost::fibers::context& next) {
   // Boost.Fiber deletes the properties together with the context.
   boost::fibers::context* current = boost::fibers::context::active();
-  if (current->get_properties() == nullptr) {
+  if (thread_state_ == nullptr) {
+    thread_state_ = __tsan_get_current_fiber();
     current->set_properties(
-        new TrackedFiber(current, __tsan_get_current_fiber(), false));
+        new TrackedFiber(current, thread_state_, thread_state_));
   }
   if (next.get_properties() == nullptr) {
-    next.set_properties(new TrackedFiber(&next, __tsan_create_fiber(0), true));
+    next.set_properties(
+        new TrackedFiber(&next, __tsan_create_fiber(0), thread_state_));
   }
-  switching_ = true;
   __tsan_switch_to_fiber(
       static_cast<TrackedFiber*>(next.get_properties())->state(), 0);
 }
--- a/drivers/fiber_sanitizer.h
+++ b/drivers/fiber_sanitizer.h
@@ -17,8 +17,10 @@
 #endif
 
  private:
-  // A switch was announced whose end is not.
-  bool switching_ = false;
+  // AddressSanitizer: a switch was announced, and its end was not.
+  [[maybe_unused]] bool switching_ = false;
+  // ThreadSanitizer: its state of the thread's first context.
+  [[maybe_unused]] void* thread_state_ = nullptr;
 };
 
 }  // namespace knapweedlift
