--- a/tests/fuzz/store_response_fuzz.cc
+++ b/tests/fuzz/store_response_fuzz.cc
@@ -2,16 +2,16 @@
 
 #include "platform/store_entries.h"
 #include "platform/store_response.h"
+#include "tests/fuzz/fiber_stack.h"
 
-// The first byte selects the parser for the remaining bytes.
-extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace knapweedlift;
-  if (size == 0) return 0;
-  const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+namespace knapweedlift {
+namespace {
+
+void ParseAs(uint8_t kind, const std::string& text) {
   const TimePoint now{Duration(1'000)};
   SourceUpdate update;
   std::vector<std::string> errors;
-  switch (data[0] % 4) {
+  switch (kind % 4) {
     case 0:
       (void)platform::ParseRangeResponse(text, now, update);
       break;
@@ -31,5 +31,16 @@
       }
     }
   }
+}
+
+}  // namespace
+}  // namespace knapweedlift
+
+// The first byte selects the parser for the remaining bytes.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  if (size == 0) return 0;
+  const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+  knapweedlift::fuzz::RunOnFiberStack(
+      [&] { knapweedlift::ParseAs(data[0], text); });
   return 0;
 }
