Serve no flows before a configuration is known

Cause: the first view was published once the VM had a revision, with or without a configuration, and a view without routes rejects everything. The soak had not shown it, since its VMs were back only after the configuration; it now kills them just before the unreadable one.

A VM now publishes no view, and is not ready, before it knows a configuration. Its digest is none until then, as its facts differ from those of peers for a reason that reading the store anew does not mend.

marks_testbed/vm_without_configuration_is_not_ready failed before.

--- a/core/registry/facts_digest.cc
+++ b/core/registry/facts_digest.cc
@@ -56,7 +56,8 @@
 }  // namespace
 
 FactsDigest ComputeFactsDigest(const Registry& registry) {
-  if (registry.limits.revision > registry.as_of) return kNoDigest;
+  const Revision config = registry.limits.revision;
+  if (config == 0 || config > registry.as_of) return kNoDigest;
   Hasher hasher;
   hasher.Add(registry.limits.limits.version);
   hasher.Add(
--- a/lab/soak/config_schedule.cc
+++ b/lab/soak/config_schedule.cc
@@ -83,6 +83,7 @@
   round.Add(deaf + kDeafTime, SoakAction::kDropHistory);
 }
 
+// Versions follow each other in quick succession while processes are killed.
 void AddStorm(const RoundBuilder& round) {
   const std::array<SoakAction, 3> changes = {
       SoakAction::kFlipRoute, SoakAction::kToggleRoute, SoakAction::kAddRoute};
@@ -119,6 +120,7 @@
   }
 }
 
+// VMs stand still while others stop, and go on with old facts in hand.
 void AddFrozenVms(const RoundBuilder& round) {
   const size_t count = std::max<size_t>(2, round.vms / 5);
   for (size_t i = 0; i < count; ++i) {
@@ -134,6 +136,7 @@
   round.Add(change + Duration(1'700), SoakAction::kToggleRoute);
 }
 
+// Some VMs have little processor time while a route changes again and again.
 void AddSlowVms(const RoundBuilder& round) {
   const size_t count = std::max<size_t>(3, round.vms / 4);
   for (size_t i = 0; i < count; ++i) {
@@ -149,16 +152,19 @@
   round.Add(round.PickTime(500, 3'000), SoakAction::kTerminate, round.PickVm());
 }
 
+// VMs start while something unreadable is in place of the configuration.
 void AddUnreadableConfig(const RoundBuilder& round) {
   round.Add(Duration(1'000), SoakAction::kFlipRoute);
   round.Add(Duration(1'400), SoakAction::kUnreadableConfig);
-  round.Add(Duration(1'500) + round.PickTime(0, 300), SoakAction::kTerminate,
-            round.PickVm());
+  const size_t reader = round.seed_vms[round.random() % round.seed_vms.size()];
+  round.Add(Duration(1'300), SoakAction::kKill, reader);
+  round.Add(Duration(1'350), SoakAction::kKill, round.PickVm());
   round.Add(Duration(1'900), SoakAction::kToggleRoute);
   round.Add(Duration(2'000), SoakAction::kFlipRoute);
 }
 
-void AddPlainChanges(const RoundBuilder& round) {
+// Routes change while two series of stops overlap.
+void AddChangesDuringStops(const RoundBuilder& round) {
   AddRollingStop(round, Duration(0));
   AddRollingStop(round, Duration(500));
   for (int i = 0; i < 8; ++i) {
@@ -195,7 +201,7 @@
     {"frozen-vms", AddFrozenVms},
     {"slow-vms", AddSlowVms},
     {"unreadable-config", AddUnreadableConfig},
-    {"rolling-stops", AddPlainChanges},
+    {"rolling-stops", AddChangesDuringStops},
     {"changing-pages", AddChangingPages},
 }};
 
--- a/lab/soak/config_soak.cc
+++ b/lab/soak/config_soak.cc
@@ -89,8 +89,8 @@
   // A fault of the store excuses all VMs until it ends.
   void BeginStoreFault(DisturbanceKind kind, TimePoint now);
   void EndStoreFault(DisturbanceKind kind, TimePoint now);
-  // VMs that do not report the store's configuration or the same facts as
-  // others, as text.
+  // VMs that do not report the newest configuration, and groups of VMs with
+  // different facts if there are several.
   json DifferingVms() const;
   json Result();
   void WriteRecord(const json& result) const;
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -191,8 +191,8 @@
 }
 
 void MarkDaemon::PublishView() {
-  // A view of an empty registry would reject every flow.
-  if (registry_.as_of == 0) return;
+  // A view without facts, or without a configuration, would reject every flow.
+  if (registry_.as_of == 0 || registry_.limits.revision == 0) return;
   view_published_at_ = Now();
   ++views_published_;
   view_.SetConfirmedAt(messenger_.state().confirmed_at);
--- a/tests/lab/marks/testbed_test.cc
+++ b/tests/lab/marks/testbed_test.cc
@@ -201,6 +201,24 @@
       testbed.RunUntil([&] { return testbed.ready_vms() == 1; }, kTimeout));
 }
 
+// Guards against a VM that starts while the configuration is unreadable and
+// resets every flow for lack of a route.
+Test(marks_testbed, vm_without_configuration_is_not_ready, .timeout = 120) {
+  const MarksPlan plan = PlanMarks(1);
+  MarksTestbed testbed(plan);
+  testbed.AddServer("atelier", "coimbra-a");
+  testbed.store().Put(platform::names::kConfigKey, R"({"version": "none"})");
+  const RunningVm vm(plan, 0, testbed.platform());
+  cr_assert(
+      testbed.RunUntil([&] { return vm.Status()["revision"] != 0; }, kTimeout));
+  testbed.Run(Duration(500));
+  cr_expect(vm.Status()["phase"] != "serving");
+  cr_expect(testbed.ready_vms() == 0);
+  testbed.PutConfig(1);
+  cr_expect(
+      testbed.RunUntil([&] { return testbed.ready_vms() == 1; }, kTimeout));
+}
+
 Test(marks_testbed, replaces_watcher_that_gets_no_response, .timeout = 120) {
   Deployment deployment(3);
   const Endpoint listener = deployment.testbed.store().AddListener();
