--- a/lab/marks/fake_store.cc
+++ b/lab/marks/fake_store.cc
@@ -156,9 +156,9 @@
       absl::MutexLock lock(&mutex_);
       if (after < compacted_revision_) return {.status = kHttpGone};
       json events = json::array();
-      const bool deaf = watches_deaf_;
+      const bool stalled = watches_stalled_;
       for (const Event& event : history_) {
-        if (deaf || event.revision <= after) continue;
+        if (stalled || event.revision <= after) continue;
         events.push_back(ItemJson(event.key, event.value, event.revision));
         if (!event.removed) continue;
         events.back().erase(names::kValue);
@@ -166,7 +166,7 @@
       }
       if (!events.empty() || Now() >= deadline || stopping_) {
         return {.body = json{{names::kEvents, events},
-                             {names::kAsOf, deaf ? after : revision_}}
+                             {names::kAsOf, stalled ? after : revision_}}
                             .dump()};
       }
     }
--- a/lab/marks/fake_store.h
+++ b/lab/marks/fake_store.h
@@ -47,8 +47,8 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
 
-  // While deaf, watches hear of no change; reads show it.
-  void SetWatchesDeaf(bool deaf) { watches_deaf_ = deaf; }
+  // While stalled, watches report no change; reads show it.
+  void SetWatchesStalled(bool stalled) { watches_stalled_ = stalled; }
 
   // Delays all pages of a read but the first one, so that entries change in
   // between.
@@ -92,7 +92,7 @@
   uint64_t compacted_revision_ ABSL_GUARDED_BY(mutex_) = 1;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::atomic<uint64_t> request_count_{0};
-  std::atomic<bool> watches_deaf_{false};
+  std::atomic<bool> watches_stalled_{false};
   std::atomic<bool> later_pages_slow_{false};
   std::atomic<bool> stopping_{false};
 };
--- a/lab/soak/config_schedule.cc
+++ b/lab/soak/config_schedule.cc
@@ -13,7 +13,7 @@
 constexpr double kRollingStopShare = 0.45;
 constexpr Duration kStormGap{50};
 constexpr int kStormVersions = 24;
-constexpr Duration kDeafTime{1'000};
+constexpr Duration kStallTime{1'000};
 
 // Collects the events of one round, which begins at `start`.
 struct RoundBuilder {
@@ -62,15 +62,15 @@
   }
 }
 
-// A route changes and changes back while the watches hear nothing, and VMs that
-// start in between read the first change.
+// A route changes and changes back while the watches report nothing, and VMs
+// that start in between read the first change.
 void AddDroppedHistory(const RoundBuilder& round) {
   AddRollingStop(round, Duration(0));
   AddRollingStop(round, Duration(500));
-  const Duration deaf = round.PickTime(3'500, 4'500);
-  const Duration change = deaf + round.PickTime(50, 300);
+  const Duration stalled = round.PickTime(3'500, 4'500);
+  const Duration change = stalled + round.PickTime(50, 300);
   const Duration back = change + round.PickTime(200, 500);
-  round.Add(deaf, SoakAction::kDeafenWatches);
+  round.Add(stalled, SoakAction::kStallWatches);
   // Ends a process so that its successor reads the store between the changes.
   const size_t reader = round.seed_vms[round.random() % round.seed_vms.size()];
   round.Add(change - round.PickTime(50, 300), SoakAction::kKill, reader);
@@ -80,7 +80,7 @@
     round.Add(change + Duration(20), SoakAction::kToggleRoute);
     round.Add(back + Duration(20), SoakAction::kToggleRoute);
   }
-  round.Add(deaf + kDeafTime, SoakAction::kDropHistory);
+  round.Add(stalled + kStallTime, SoakAction::kDropHistory);
 }
 
 // Versions follow each other in quick succession while processes are killed.
@@ -253,8 +253,8 @@
       return "start_slow";
     case SoakAction::kEndSlow:
       return "end_slow";
-    case SoakAction::kDeafenWatches:
-      return "deafen_watches";
+    case SoakAction::kStallWatches:
+      return "stall_watches";
     case SoakAction::kDropHistory:
       return "drop_history";
     case SoakAction::kSlowPages:
--- a/lab/soak/config_schedule.h
+++ b/lab/soak/config_schedule.h
@@ -29,8 +29,8 @@
   // A VM gets a tenth of a core from kStartSlow to kEndSlow.
   kStartSlow,
   kEndSlow,
-  // The watches of all listeners of the store hear nothing.
-  kDeafenWatches,
+  // The watches of all listeners of the store report nothing.
+  kStallWatches,
   // The store drops its history, and the watches are cut.
   kDropHistory,
   // Entries change between the pages of a read.
--- a/lab/soak/config_soak.cc
+++ b/lab/soak/config_soak.cc
@@ -238,12 +238,12 @@
       return fleet_.SetSlow(event.target, true, now);
     case SoakAction::kEndSlow:
       return fleet_.SetSlow(event.target, false, now);
-    case SoakAction::kDeafenWatches:
-      store.SetWatchesDeaf(true);
+    case SoakAction::kStallWatches:
+      store.SetWatchesStalled(true);
       return BeginStoreFault(DisturbanceKind::kStoreUnstable, now);
     case SoakAction::kDropHistory:
       store.CompactHistory();
-      store.SetWatchesDeaf(false);
+      store.SetWatchesStalled(false);
       return EndStoreFault(DisturbanceKind::kStoreUnstable, now);
     case SoakAction::kSlowPages:
       store.SetLaterPagesSlow(true);
--- a/tests/lab/soak/config_history_test.cc
+++ b/tests/lab/soak/config_history_test.cc
@@ -177,15 +177,15 @@
 // A fault that is never undone would make every later check pass.
 Test(config_schedule, ends_every_fault) {
   for (uint64_t seed = 1; seed <= 50; ++seed) {
-    int deaf = 0;
+    int stalled = 0;
     int frozen = 0;
     int slow = 0;
     int slow_pages = 0;
     std::map<size_t, StoreMode> modes;
     for (const SoakEvent& event :
          MakeConfigSchedule(seed, 6, 16, {0, 8, 15}, 4).events) {
-      deaf += event.action == SoakAction::kDeafenWatches ? 1 : 0;
-      deaf -= event.action == SoakAction::kDropHistory ? 1 : 0;
+      stalled += event.action == SoakAction::kStallWatches ? 1 : 0;
+      stalled -= event.action == SoakAction::kDropHistory ? 1 : 0;
       frozen += event.action == SoakAction::kFreeze ? 1 : 0;
       frozen -= event.action == SoakAction::kThaw ? 1 : 0;
       slow += event.action == SoakAction::kStartSlow ? 1 : 0;
@@ -196,7 +196,7 @@
         modes[event.target] = event.mode;
       }
     }
-    cr_expect(deaf == 0 && frozen == 0 && slow == 0 && slow_pages == 0);
+    cr_expect(stalled == 0 && frozen == 0 && slow == 0 && slow_pages == 0);
     for (const auto& [listener, mode] : modes) {
       cr_expect(mode == StoreMode::kServe);
     }
