--- a/review/standins-2/clients.cc
+++ b/review/standins-2/clients.cc
@@ -16,13 +16,13 @@
 }  // namespace
 
 Client::Client(Loop& loop, Platform& platform, std::string zone, uint32_t ip,
-               OnSystemReset on_system_reset)
+               OnReset on_reset)
     : loop_(loop),
       platform_(platform),
       zone_(std::move(zone)),
       ip_(ip),
       fd_(OpenUdp({ip, platform.ports().data})),
-      on_system_reset_(std::move(on_system_reset)) {
+      on_reset_(std::move(on_reset)) {
   if (fd_ >= 0) loop_.OnReadable(fd_, [this] { Receive(); });
 }
 
@@ -126,12 +126,16 @@
     const auto distance = static_cast<int32_t>(packet.seq - flow.next);
     if (flow.open && std::abs(int64_t{distance}) > kResetWindow) return;
     const bool system = IsSystemReset(packet);
-    if (system && flow.open) on_system_reset_(id, flow.taken_by);
+    if (flow.open) on_reset_(id, system, flow.taken_by);
     return Fail(id, system ? "reset by the system" : "reset by an endpoint");
   }
   if ((packet.flags & kSyn) != 0) {
-    if (flow.open && packet.seq != flow.server_first) return;
     flow.echo = packet.echo;
+    if (flow.open && packet.seq != flow.server_first) {
+      Record("client     %s:%u is open and gets a SYN+ACK of another endpoint",
+             Text(ip_).c_str(), id.client_port);
+      return;
+    }
     flow.server_first = packet.seq;
     flow.next = packet.seq + 1;
     const bool first = !std::exchange(flow.open, true);
--- a/review/standins-2/clients.h
+++ b/review/standins-2/clients.h
@@ -13,12 +13,12 @@
 class Client {
  public:
   using Done = std::function<void()>;
-  // Judges a reset of the system on a flow that is open.
-  using OnSystemReset =
-      std::function<void(const FlowId& flow, const Vm* taken_by)>;
+  // Judges a reset, by the system or by an endpoint, on a flow that is open.
+  using OnReset = std::function<void(const FlowId& flow, bool by_system,
+                                     const Vm* taken_by)>;
 
   Client(Loop& loop, Platform& platform, std::string zone, uint32_t ip,
-         OnSystemReset on_system_reset);
+         OnReset on_reset);
   bool bound() const { return fd_ >= 0; }
 
   // Opens a flow to a route. `opened` is called once the flow is open, `failed`
@@ -69,7 +69,7 @@
   uint32_t ip_ = 0;
   int fd_ = -1;
   uint16_t next_port_ = 1024;
-  OnSystemReset on_system_reset_;
+  OnReset on_reset_;
   std::map<FlowId, Flow> flows_;
 };
 
--- a/review/standins-2/endpoints.cc
+++ b/review/standins-2/endpoints.cc
@@ -162,11 +162,28 @@
             .next = packet.seq + 1,
             .first = static_cast<uint32_t>(Random()) | 1};
     flow.sent = flow.first + 1;
+    RepeatSynAck(id, flow.first, 0);
   }
   flow.echo = packet.echo;
   SendPacket(id, flow, kSyn | kAck, flow.first, "");
 }
 
+void Endpoint::RepeatSynAck(const FlowId& id, uint32_t first, int retransmits) {
+  const Millis delay = std::min<Millis>(kFirstRetransmitMs << retransmits, 1600);
+  loop_.After(delay, [this, id, first, retransmits, number = incarnation_] {
+    const auto found = flows_.find(id);
+    const bool due = number == incarnation_ && found != flows_.end() &&
+                     found->second.first == first && !found->second.open;
+    if (!due) return;
+    if (retransmits == kMaxRetransmits) {
+      flows_.erase(found);
+      return;
+    }
+    SendPacket(id, found->second, kSyn | kAck, first, "");
+    RepeatSynAck(id, first, retransmits + 1);
+  });
+}
+
 void Endpoint::HandleData(const FlowId& id, Flow& flow, const Packet& packet) {
   if (packet.seq != flow.next) {
     // A copy of what is here already.
--- a/review/standins-2/endpoints.h
+++ b/review/standins-2/endpoints.h
@@ -66,6 +66,7 @@
   void Respond(const FlowId& id, uint64_t incarnation,
                const std::string& request);
   void SendResponse(const FlowId& id, Flow& flow);
+  void RepeatSynAck(const FlowId& id, uint32_t first, int retransmits);
   void ScheduleRetransmit(const FlowId& id, Flow& flow);
   void Reset(const FlowId& id, const Packet& packet);
   void SendPacket(const FlowId& id, const Flow& flow, uint8_t flags,
--- a/review/standins-2/loop.cc
+++ b/review/standins-2/loop.cc
@@ -16,6 +16,7 @@
 
 const auto start = std::chrono::steady_clock::now();
 FILE* record = nullptr;
+double lost_share = 0;
 
 sockaddr_in SocketAddress(const Address& address) {
   sockaddr_in result{};
@@ -148,7 +149,11 @@
   return fd;
 }
 
+void SetLoss(double share) { lost_share = share; }
+
 void SendTo(int fd, const Address& to, const std::vector<uint8_t>& bytes) {
+  constexpr double kParts = 1e6;
+  if (static_cast<double>(Random() % 1'000'000) < lost_share * kParts) return;
   const sockaddr_in address = SocketAddress(to);
   sendto(fd, bytes.data(), bytes.size(), MSG_DONTWAIT,
          reinterpret_cast<const sockaddr*>(&address), sizeof(address));
--- a/review/standins-2/loop.h
+++ b/review/standins-2/loop.h
@@ -52,6 +52,9 @@
 // Starts a connection attempt; never blocks.
 int StartConnect(const Address& to);
 void SendTo(int fd, const Address& to, const std::vector<uint8_t>& bytes);
+// Share of all datagrams that the network loses from now on, between clients
+// and machines and between endpoints and clients.
+void SetLoss(double share);
 
 // Appends a line with the time to the record.
 void OpenRecord(const std::string& path);
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -69,7 +69,8 @@
   void set_planned(bool planned) { planned_ = planned; }
 
  private:
-  void JudgeReset(const Client& client, const FlowId& flow, const Vm* taken_by);
+  void JudgeReset(const Client& client, const FlowId& flow, bool by_system,
+                  const Vm* taken_by);
 
   std::string folder_;
   bool trouble_;
@@ -138,8 +139,8 @@
     const size_t index = clients_.size();
     clients_.push_back(std::make_unique<Client>(
         loop_, *platform_, zone, ip,
-        [this, index](const FlowId& flow, const Vm* taken_by) {
-          JudgeReset(*clients_[index], flow, taken_by);
+        [this, index](const FlowId& flow, bool by_system, const Vm* taken_by) {
+          JudgeReset(*clients_[index], flow, by_system, taken_by);
         }));
   }
 }
@@ -179,7 +180,7 @@
 
 // FLOW (a): a client gets a reset that the flow's endpoint did not send, while
 // that endpoint lives and was not disturbed in the last stableWindowMs.
-void World::JudgeReset(const Client& client, const FlowId& flow,
+void World::JudgeReset(const Client& client, const FlowId& flow, bool by_system,
                        const Vm* taken_by) {
   const Endpoint* holder = nullptr;
   for (const auto& endpoint : endpoints_) {
@@ -204,8 +205,9 @@
       }
     }
   }
-  Record("%s the system reset the open flow %s:%u at %s, taken by %s%s%s",
+  Record("%s %s reset the open flow %s:%u at %s, taken by %s%s%s",
          excuse == nullptr ? "FLOW      " : "reset     ",
+         by_system ? "the system" : "another endpoint",
          Text(flow.client).c_str(), flow.client_port,
          holder == nullptr ? "no endpoint" : holder->settings().id.c_str(),
          taken_by == nullptr ? "no machine" : taken_by->name.c_str(),
@@ -403,8 +405,46 @@
   return world.broken() > 0 ? kBroken : kHeld;
 }
 
+// The machines are stopped and started in turn while the network loses a
+// datagram now and then.
+int PlaySecondOpening(World& world) {
+  constexpr int kVms = 6;
+  constexpr int kEndpoints = 6;
+  constexpr int kClients = 300;
+  constexpr double kLostShare = 0.005;
+  constexpr Millis kRollGapMs = 1300;
+  constexpr Millis kPlayMs = 75'000;
+  for (int i = 0; i < kEndpoints; ++i) {
+    if (!world.AddEndpoint("atelier", "coimbra-a", 0)) return kCannotRun;
+  }
+  const Route route{"r-confirm", {kRouteIp, 8080}, "atelier"};
+  world.Configure({route});
+  world.AddVms("coimbra-a", kVms);
+  world.AddClients("coimbra-a", kClients);
+  if (!world.StartSystem()) return kCannotRun;
+  world.set_planned(true);
+  SetLoss(kLostShare);
+  std::vector<std::unique_ptr<Person>> people;
+  for (const auto& client : world.clients()) {
+    if (!client->bound()) return kCannotRun;
+    people.push_back(
+        std::make_unique<Person>(world.loop(), *client, route.address, 0));
+    world.loop().After(static_cast<Millis>(Random() % 1000),
+                       [person = people.back().get()] { person->Start(); });
+  }
+  const Millis begin = NowMs();
+  for (Millis i = 0; world.trouble() && i * kRollGapMs < kPlayMs - 8'000; ++i) {
+    world.loop().At(begin + 2'000 + i * kRollGapMs, [&world, i] {
+      world.platform().StopInTurn(static_cast<size_t>(i % kVms));
+    });
+  }
+  world.loop().RunUntil(begin + kPlayMs, [] { return false; });
+  return world.broken() > 0 ? kBroken : kHeld;
+}
+
 int Play(World& world, const std::string& name) {
   if (!world.ChoosePorts()) return kCannotRun;
+  if (name == "second-opening") return PlaySecondOpening(world);
   if (name == "reborn") return PlayReborn(world);
   if (name == "new-routes") return PlayNewRoutes(world);
   return kCannotRun;
