--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -355,9 +355,9 @@
   constexpr Millis kStormMs = 4'000;
   // All machines are stopped in turn within this time, and the operator's
   // changes come while that goes on.
-  constexpr Millis kRoundMs = 16'000;
-  constexpr Millis kStormAfterRollMs = 4'000;
-  constexpr int kRounds = 5;
+  constexpr Millis kRoundMs = 13'000;
+  constexpr Millis kStormAfterRollMs = 2'500;
+  constexpr int kRounds = 6;
   for (const char* zone : {"coimbra-a", "coimbra-b"}) {
     for (int i = 0; i < 3; ++i) {
       if (!world.AddEndpoint("atelier", zone, 0)) return kCannotRun;
@@ -391,10 +391,10 @@
   for (int round = 0; round < kRounds; ++round) {
     const Millis roll_at = begin + kRoundMs * round;
     for (size_t i = 0; world.trouble() && i < vms; ++i) {
-      // The machines of the clients' zone go first.
+      // The machines of the clients' zone go first, in the order of their start.
       world.loop().At(roll_at + static_cast<Millis>(i) * kRollGapMs,
                       [&world, i, vms] {
-                        world.platform().StopInTurn(vms - 1 - i);
+                        world.platform().StopInTurn((vms / 2 + i) % vms);
                       });
     }
     for (Millis at = 0; at < kStormMs; at += kStormGapMs) {
