Let the store of the stand-ins send long answers in parts

Cause: an answer longer than the room in its socket was cut short.

Change: the rest is sent once the socket is writable again.

--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -145,7 +145,7 @@
     return;
   }
   if (!target.starts_with("/-/kv-range")) {
-    return Send(*connection, 404, "{}");
+    return Send(connection, 404, "{}");
   }
   const std::string prefix = Parameter(target, "prefix");
   std::vector<std::string> page;
@@ -156,7 +156,7 @@
     if (has_more) break;
     page.push_back(ItemJson(key, item.value, item.revision, item.created));
   }
-  Send(*connection, 200,
+  Send(connection, 200,
        "{\"items\":[" + Join(page) +
            "],\"hasMore\":" + (has_more ? "true" : "false") +
            ",\"asOf\":" + std::to_string(revision_) + "}");
@@ -169,19 +169,33 @@
        event != history_.end(); ++event) {
     events.push_back(event->second);
   }
-  Send(*connection, 200,
+  Send(connection, 200,
        "{\"events\":[" + Join(events) +
            "],\"asOf\":" + std::to_string(revision_) + "}");
 }
 
-void Store::Send(const Connection& connection, int status,
+void Store::Send(const std::shared_ptr<Connection>& connection, int status,
                  const std::string& body) {
-  const std::string message =
-      "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Not Found") +
+  connection->output +=
+      "HTTP/1.1 " + std::to_string(status) +
+      (status == 200 ? " OK" : " Not Found") +
       "\r\nContent-Type: application/json\r\nContent-Length: " +
       std::to_string(body.size()) + "\r\n\r\n" + body;
-  // Answers here are far smaller than a socket's buffer.
-  send(connection.fd, message.data(), message.size(), MSG_NOSIGNAL);
+  Flush(connection);
+}
+
+void Store::Flush(const std::shared_ptr<Connection>& connection) {
+  std::string& output = connection->output;
+  while (connection->fd >= 0 && !output.empty()) {
+    const ssize_t size =
+        send(connection->fd, output.data(), output.size(), MSG_NOSIGNAL);
+    if (size < 0) {
+      loop_.OnWritable(connection->fd,
+                       [this, connection] { Flush(connection); });
+      return;
+    }
+    output.erase(0, static_cast<size_t>(size));
+  }
 }
 
 void Store::WakeWatches() {
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -27,6 +27,8 @@
   struct Connection {
     int fd = -1;
     std::string input;
+    // What the socket has had no room for yet.
+    std::string output;
     // A watch that waits: its position, and when it is answered without events.
     bool watching = false;
     uint64_t after = 0;
@@ -38,7 +40,9 @@
   void Answer(const std::shared_ptr<Connection>& connection,
               const std::string& target);
   void AnswerWatch(const std::shared_ptr<Connection>& connection);
-  void Send(const Connection& connection, int status, const std::string& body);
+  void Send(const std::shared_ptr<Connection>& connection, int status,
+            const std::string& body);
+  void Flush(const std::shared_ptr<Connection>& connection);
   void WakeWatches();
 
   Loop& loop_;
