Show that bursts reset flows of a full server (review case 7)

Cause: three refused checks within milliseconds confirm a server as down that is full for a moment; the delay for reports that it still answers applies only if most other servers of the service are full, too.

Change: a script; the endpoints of the stand-ins learn slots, a queue, and to refuse connections while they are full.

--- a/review/standins-2/endpoints.h
+++ b/review/standins-2/endpoints.h
@@ -1,8 +1,10 @@
 #ifndef REVIEW_STANDINS_2_ENDPOINTS_H_
 #define REVIEW_STANDINS_2_ENDPOINTS_H_
 
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "loop.h"
 #include "packet.h"
@@ -18,6 +20,11 @@
   int heartbeat_ms = 1200;
   // From its start to its first entry in the store.
   int first_entry_ms = 0;
+  int work_ms = 15;
+  // Requests that it works on at once; 0 for any number. With `queue` more it
+  // is full: it rejects requests at once and refuses connections.
+  size_t slots = 0;
+  size_t queue = 0;
 };
 
 // An endpoint of a service as PROTOCOL.md, "Flows" and "Endpoints", describes
@@ -57,12 +64,18 @@
   };
 
   bool OpenPorts();
+  bool Listen();
   void ClosePorts();
   void Receive();
   void Handle(const Packet& packet);
   void HandleSyn(const FlowId& id, const Packet& packet);
   void HandleData(const FlowId& id, Flow& flow, const Packet& packet);
-  void Run(const FlowId& id);
+  void TakeRequest(const FlowId& id);
+  void StartWaiting();
+  void UpdateListener();
+  bool IsFull() const;
+  void Answer(const FlowId& id, const std::string& status,
+              const std::string& request);
   void Respond(const FlowId& id, uint64_t incarnation,
                const std::string& request);
   void SendResponse(const FlowId& id, Flow& flow);
@@ -84,6 +97,8 @@
   int udp_ = -1;
   int tcp_ = -1;
   std::map<FlowId, Flow> flows_;
+  std::deque<std::pair<FlowId, std::string>> waiting_;
+  size_t running_requests_ = 0;
   Millis disturbed_at_ = -1'000'000;
 };
 
