Install the runtime of clang's sanitizers for the fuzzers

Cause: clang only recommends libclang-rt-14-dev, and install.sh installs without recommended packages, so that the fuzzers do not link on a machine that lacks the package.

Change: fuzz.sh asks for the package by name.

--- a/misc/scripts/fuzz.sh
+++ b/misc/scripts/fuzz.sh
@@ -11,7 +11,8 @@
 else
   limit=-max_total_time=${1:-60}
 fi
-misc/scripts/install.sh clang || exit 1
+# The runtime of the sanitizers and of libFuzzer is only recommended by clang.
+misc/scripts/install.sh clang libclang-rt-14-dev || exit 1
 build_directory=build-fuzz
 CXX=clang++ cmake -S . -B "$build_directory" -G Ninja -DKNAPWEEDLIFT_FUZZ=ON \
   -DKNAPWEEDLIFT_SANITIZE=fuzzer-no-link,address,undefined >/dev/null &&
