Forward open flows whose route is not known yet by their marks

Cause: a VM that did not know the route of a packet reset its flow before it looked at the mark, which shows that the flow was opened on the route.

Change: such a packet is forwarded by its mark. It was sent after the flow was opened, so that facts confirmed 1.5 s after the flow's first packet include the route unless it was dropped; only then the flow is reset, and after 60 s in any case. Flows that the VM forwarded by the route before, SYNs, and flows of servers that are down are reset at once, as before.

--- a/core/flow/marked_flows.cc
+++ b/core/flow/marked_flows.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/registry/registry.h"
+
 namespace knapweedlift {
 namespace {
 
@@ -18,6 +20,9 @@
 // Callers give up a connection attempt after 1.4 s.
 constexpr Duration kOpeningFlowLifetime{3'000};
 
+// No flow is older than this, so that none stays in doubt for longer.
+constexpr Duration kMaxRouteDoubt = kTombstoneLifetime;
+
 // Returns true if `a` precedes `b` in wrapping sequence numbers.
 bool IsSequenceBefore(uint32_t a, uint32_t b) {
   return static_cast<int32_t>(a - b) < 0;
@@ -181,6 +186,25 @@
   map.flows.erase(found);
 }
 
+bool IsRouteInDoubt(MarkedFlowMap& map, uint64_t fingerprint,
+                    TimePoint confirmed_at, TimePoint now) {
+  const bool full = map.unrouted.size() >= map.capacity;
+  if (full && !map.unrouted.contains(fingerprint)) return true;
+  const auto [found, added] = map.unrouted.try_emplace(fingerprint);
+  UnroutedFlow& flow = found->second;
+  if (added) {
+    flow.since = now;
+    flow.had_route = map.flows.contains(fingerprint);
+  }
+  flow.last_seen = now;
+  return !flow.had_route && confirmed_at < flow.since + kMaxFactsLag &&
+         now < flow.since + kMaxRouteDoubt;
+}
+
+void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint) {
+  if (!map.unrouted.empty()) map.unrouted.erase(fingerprint);
+}
+
 void ExpireMarkedFlows(MarkedFlowMap& map, Duration idle_timeout,
                        TimePoint now) {
   std::vector<uint64_t> expired;
@@ -198,6 +222,9 @@
   for (const uint64_t fingerprint : expired) {
     RemoveMarkedFlow(map, fingerprint);
   }
+  absl::erase_if(map.unrouted, [idle_timeout, now](const auto& item) {
+    return now - item.second.last_seen > idle_timeout;
+  });
   absl::erase_if(map.servers, [](const auto& item) {
     return item.second.flows == 0 && item.second.waiting == 0;
   });
--- a/core/flow/marked_flows.h
+++ b/core/flow/marked_flows.h
@@ -59,6 +59,18 @@
   bool operator==(const MarkedFlow&) const = default;
 };
 
+// A flow that sends packets although this VM knows no route for them.
+struct UnroutedFlow {
+  // The first such packet.
+  TimePoint since;
+  TimePoint last_seen;
+  // This VM forwarded the flow by its route before, so that the route was
+  // dropped.
+  bool had_route = false;
+
+  auto operator<=>(const UnroutedFlow&) const = default;
+};
+
 // Passive health data about a server from its flows in one shard.
 struct ServerTraffic {
   uint32_t flows = 0;
@@ -90,6 +102,8 @@
 // The flows of one shard. The shard's lock guards them.
 struct MarkedFlowMap {
   absl::flat_hash_map<uint64_t, MarkedFlow, FingerprintHash> flows;
+  // Flows without a route, whether or not they are in `flows`.
+  absl::flat_hash_map<uint64_t, UnroutedFlow, FingerprintHash> unrouted;
   absl::flat_hash_map<Mark, ServerTraffic> servers;
   // Since they were last taken, by server.
   absl::flat_hash_map<Mark, ResponseWaits> waits;
@@ -127,6 +141,18 @@
 
 void RemoveMarkedFlow(MarkedFlowMap& map, uint64_t fingerprint);
 
+// Records a packet of an open flow for which this VM knows no route, and
+// returns true if the route may be newer than the facts, which were last
+// confirmed at `confirmed_at`. The flow was opened before its first packet
+// here, so that facts confirmed kMaxFactsLag after that packet include its
+// route unless it was dropped. Flows beyond the capacity are not recorded and
+// stay in doubt.
+bool IsRouteInDoubt(MarkedFlowMap& map, uint64_t fingerprint,
+                    TimePoint confirmed_at, TimePoint now);
+
+// Records that this VM knows the route of a flow.
+void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint);
+
 // Removes flows that were idle for `idle_timeout`, and with shorter timeouts
 // those that were closed or never completed the handshake.
 void ExpireMarkedFlows(MarkedFlowMap& map, Duration idle_timeout,
--- a/core/placement/mark_decision.cc
+++ b/core/placement/mark_decision.cc
@@ -30,6 +30,19 @@
           .server = server};
 }
 
+MarkDecision DecideWithoutRoute(const MarkView& view,
+                                const MarkedPacket& packet) {
+  if (packet.syn || packet.mark == kNoMark) {
+    return Reset(ResultCode::kResetNoRoute);
+  }
+  MarkDecision decision = DecideByMark(view, packet.mark);
+  decision.without_route = true;
+  if (decision.verdict == MarkVerdict::kForward) {
+    decision.reason = ResultCode::kForwardedWithoutRoute;
+  }
+  return decision;
+}
+
 // Returns true if an earlier copy of the SYN was admitted: a refused one is
 // reset, after which the caller does not repeat it.
 bool WasAdmitted(const MarkedPacket& packet, const MarkedFlow* flow) {
@@ -103,7 +116,7 @@
   const auto route = view.routes->by_address.find(
       {.address = packet.key.destination, .port = packet.key.destination_port});
   if (route == view.routes->by_address.end()) {
-    return Reset(ResultCode::kResetNoRoute);
+    return DecideWithoutRoute(view, packet);
   }
   if (!packet.syn) {
     if (packet.mark == kNoMark) return Drop(ResultCode::kDropNoMark);
@@ -188,4 +201,14 @@
   return Drop(ResultCode::kDropColdServer);
 }
 
+MarkDecision ResetIfRouteDropped(const MarkDecision& decision,
+                                 MarkedFlowMap& map, uint64_t fingerprint,
+                                 TimePoint confirmed_at, TimePoint now) {
+  if (!decision.without_route) return decision;
+  if (decision.verdict == MarkVerdict::kReset) return decision;
+  return IsRouteInDoubt(map, fingerprint, confirmed_at, now)
+             ? decision
+             : Reset(ResultCode::kResetNoRoute);
+}
+
 }  // namespace knapweedlift
--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -27,6 +27,11 @@
 // The age of facts that came from a peer and have not been confirmed since.
 inline constexpr Duration kNeverConfirmed{-1};
 
+// Facts that were confirmed at a time include all changes up to this long
+// before: the watcher of the platform starts a call at most 100 ms after the
+// last one, and stops confirming if none ends within 1.4 s.
+inline constexpr Duration kMaxFactsLag{1'500};
+
 // Time since the facts were last confirmed to be current; kNeverConfirmed if
 // they never were.
 inline Duration FactsAge(TimePoint confirmed_at, TimePoint now) {
--- a/core/result_code.cc
+++ b/core/result_code.cc
@@ -32,6 +32,9 @@
      "A retransmitted SYN followed the original one."},
     {kForwardedMoved, "forwarded_moved",
      "An opening flow was moved from a server that does not respond."},
+    {kForwardedWithoutRoute, "forwarded_without_route",
+     "The packet's mark identifies its backend server, which got it, though "
+     "this VM knows no route for the flow yet."},
     {kHandedToHome, "handed_to_home",
      "The bucket is ambiguous; the packet was relayed to a home of its flow."},
     {kHandedUnconfirmed, "handed_unconfirmed",
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -24,6 +24,7 @@
   kForwardedPlaced = 106,
   kForwardedKnownOpening = 107,
   kForwardedMoved = 108,
+  kForwardedWithoutRoute = 109,
   kHandedToHome = 110,
   kHandedUnconfirmed = 111,
   // Valid packets that are dropped or answered with a reset.
--- a/servers/marks/mark_forwarder.cc
+++ b/servers/marks/mark_forwarder.cc
@@ -88,8 +88,10 @@
     MarkedFlowTable::Shard& shard = context_.flows.ShardOf(fingerprint);
     absl::MutexLock lock(&shard.mutex);
     MarkedFlow* flow = FindMarkedFlow(shard.map, fingerprint);
-    const MarkDecision decision = DecideAndTakeToken(
-        *view_, packet, flow, fingerprint, now_, cold_flows_);
+    const MarkDecision decision = ResetIfRouteDropped(
+        DecideAndTakeToken(*view_, packet, flow, fingerprint, now_,
+                           cold_flows_),
+        shard.map, fingerprint, context_.view.confirmed_at(), now_);
     CountAdmission(decision);
     if (decision.verdict == MarkVerdict::kForward) {
       RecordForward(decision, packet, fingerprint, datagram, shard.map);
@@ -112,6 +114,7 @@
     const ServerTarget& server = view_->servers[decision.server];
     const PacketObservation observation =
         RecordPacket(map, fingerprint, packet, server.fact.mark, now_);
+    if (!decision.without_route) RecordRoute(map, fingerprint);
     MarkedFlow* flow = FindMarkedFlow(map, fingerprint);
     if (flow == nullptr) return;
     if (packet.syn) StoreSyn(flow, datagram);
