Send changes for another failure domain to a VM that serves

Cause: the watcher sent changes and leases to the longest-running VM of each other domain until it was suspect, though it had announced its end and was gone; the watcher had not been told, and did not look at the phase.

Change: the relay root is a serving VM if one is live, and a VM that leaves tells the watcher in whichever domain it is.

--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -101,8 +101,9 @@
   }
 }
 
-// The longest-running VM of each other failure domain, preferably a live one.
-// Messages to the fleet enter the relay tree of that domain there.
+// The longest-running VM of each other failure domain, preferably a live one
+// that serves. Messages to the fleet enter the relay tree of that domain there,
+// and one that has left may not be suspect yet.
 std::vector<const Member*> RemoteRelayRoots(const FleetState& state,
                                             TimePoint now) {
   std::map<std::string, const Member*> roots;
@@ -111,6 +112,7 @@
     const Member*& root = roots[member->address.domain];
     const auto order = [now](const Member& candidate) {
       return std::tuple(now >= candidate.suspect_after,
+                        candidate.heartbeat.phase != MemberPhase::kServing,
                         StartOrderOf(candidate));
     };
     if (root == nullptr || order(*member) < order(*root)) root = member;
@@ -444,6 +446,12 @@
   }
   if (targets.size() > kMaxFleetGossipPeers)
     targets.resize(kMaxFleetGossipPeers);
+  if (phase == MemberPhase::kLeaving) {
+    const auto watcher = state.members.find(state.watch_lease_holder);
+    const bool is_remote = watcher != state.members.end() &&
+                           watcher->second.address.domain != state.self.domain;
+    if (is_remote) targets.push_back(watcher->second.address.control);
+  }
   for (const Endpoint& target : targets) {
     SendGossip(state, registry, target, false, now, out);
   }
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -204,7 +204,8 @@
 
 // Enters a phase and announces it to live VMs of the failure domain, at most
 // kMaxFleetGossipPeers of them. A VM that starts to serve exchanges gossip with
-// a seed as well, which knows more VMs than it does.
+// a seed as well, which knows more VMs than it does. One that leaves tells the
+// watcher, which may send the changes for its failure domain to it.
 void EnterPhase(FleetState& state, const Registry& registry, MemberPhase phase,
                 TimePoint now, FleetOutbox& out);
 
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -169,6 +169,22 @@
   cr_expect(fleet.PropagationTime() < Duration(500));
 }
 
+// Regression test: the watcher sent changes for another failure domain to a VM
+// that had announced its end and was gone, for up to 2 s, and the VMs of that
+// domain learned of them by gossip alone (review/6).
+Test(fleet, changes_do_not_enter_a_domain_through_a_vm_that_left) {
+  FakeFleet fleet(8, 2);
+  fleet.Run(kConvergenceTime);
+  cr_assert(fleet.Watchers() == std::vector<size_t>({0}));
+  // The longest-running VMs of the other domain, as in a rolling stop.
+  for (const size_t index : {1, 3}) {
+    fleet.Leave(index);
+    fleet.Run(Duration(1'500));
+    fleet.vm(index).running = false;
+    cr_expect(fleet.PropagationTime() <= Duration(200), "VM %zu", index);
+  }
+}
+
 Test(fleet, platform_calls_do_not_grow_with_the_fleet) {
   const auto count_calls = [](size_t vms) {
     FakeFleet fleet(vms);
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -94,6 +94,14 @@
     return watchers;
   }
 
+  // Announces that the VM leaves. It runs on until its caller stops it.
+  void Leave(size_t index) {
+    Vm& vm = vms_[index];
+    FleetOutbox out;
+    EnterPhase(vm.fleet, vm.registry, MemberPhase::kLeaving, now_, out);
+    Send(index, out);
+  }
+
   Vm& vm(size_t index) { return vms_[index]; }
   // Reads the store for the VM, as the daemon does at its start.
   void ReadStore(size_t index) {
