Send flows with a retired mark to the restarted server

Cause: until the new entry of a restarted server arrives, VMs place SYNs by the old one. The server accepts them, since the number in front of a packet is its id alone, and the flows keep the mark of the ended incarnation. The new entry retired that mark, and each VM reset all flows that carried it.

Retired marks have result codes of their own now.

Change: a retired mark leads to the restarted server if its address and service are still those of the incarnation that had the mark; the packet gets the new mark. The server itself resets the flows that it does not hold. All others are reset as before. Copies of SYNs follow the same rule, and a suspicion of an ended incarnation resets no flows once the new entry is known.

--- a/core/placement/mark_decision.cc
+++ b/core/placement/mark_decision.cc
@@ -17,16 +17,18 @@
 }
 
 MarkDecision DecideByMark(const MarkView& view, Mark mark) {
-  const ServerIndex server = FindServerByMark(view, mark);
+  const ServerIndex server = FindServerOfFlow(view, mark);
   if (server == kPreviousIncarnation) {
-    return Reset(ResultCode::kResetServerGone);
+    return Reset(ResultCode::kResetServerRestarted);
   }
   if (server >= view.servers.size()) return Drop(ResultCode::kDropUnknownMark);
   if (view.servers[server].confirmed_down) {
     return Reset(ResultCode::kResetServerGone);
   }
+  const bool restarted = view.servers[server].fact.mark != mark;
   return {.verdict = MarkVerdict::kForward,
-          .reason = ResultCode::kForwardedByMark,
+          .reason = restarted ? ResultCode::kForwardedToRestarted
+                              : ResultCode::kForwardedByMark,
           .server = server};
 }
 
@@ -100,7 +102,7 @@
   const bool retransmission =
       flow != nullptr && flow->syn_sequence == packet.sequence;
   if (!retransmission) return kNoServerIndex;
-  const ServerIndex index = FindServerByMark(view, flow->mark);
+  const ServerIndex index = FindServerOfFlow(view, flow->mark);
   if (index >= view.servers.size()) return kNoServerIndex;
   const ServerTarget& server = view.servers[index];
   const bool usable = !server.suspect && LeadsTo(route, server.service_index) &&
--- a/core/placement/mark_view.cc
+++ b/core/placement/mark_view.cc
@@ -11,6 +11,36 @@
   if (!added && found->second != index) found->second = kAmbiguousMark;
 }
 
+// Index of the server with this name; kNoServerIndex if there is none.
+ServerIndex FindServerByName(const MarkView& view, const std::string& name) {
+  const auto found = std::lower_bound(
+      view.servers.begin(), view.servers.end(), name,
+      [](const ServerTarget& server, const std::string& wanted) {
+        return server.fact.name < wanted;
+      });
+  if (found == view.servers.end() || found->fact.name != name) {
+    return kNoServerIndex;
+  }
+  return static_cast<ServerIndex>(found - view.servers.begin());
+}
+
+void AddRetiredMark(MarkView& view, const RetiredMark& retired) {
+  const ServerIndex index = FindServerByName(view, retired.server);
+  if (index == kNoServerIndex) {
+    AddMark(view, retired.mark, kPreviousIncarnation);
+    return;
+  }
+  const ServerFact& present = view.servers[index].fact;
+  // An earlier entry is in force again.
+  if (present.mark == retired.mark) return;
+  AddMark(view, retired.mark, kPreviousIncarnation);
+  const bool may_hold_flows = present.endpoint == retired.endpoint &&
+                              present.service == retired.service;
+  if (!may_hold_flows) return;
+  const auto [found, added] = view.successors.try_emplace(retired.mark, index);
+  if (!added && found->second != index) found->second = kAmbiguousMark;
+}
+
 uint32_t ServiceIndexOf(std::vector<std::string>& names,
                         const std::string& name) {
   const auto found = std::find(names.begin(), names.end(), name);
@@ -127,9 +157,6 @@
   MarkView view{.as_of = registry.as_of,
                 .limits = registry.limits.limits,
                 .evacuated_domains = EvacuatedDomains(registry)};
-  for (const RetiredMark& incarnation : registry.retired_marks) {
-    AddMark(view, incarnation.mark, kPreviousIncarnation);
-  }
   view.servers.reserve(registry.servers.size());
   view.by_mark.reserve(registry.servers.size());
   for (const auto& [name, record] : registry.servers) {
@@ -158,6 +185,9 @@
              ServiceIndexOf(state.service_names, record.fact.service),
          .load = load});
   }
+  for (const RetiredMark& retired : registry.retired_marks) {
+    AddRetiredMark(view, retired);
+  }
   std::erase_if(state.loads, [&view](const auto& item) {
     return !view.by_mark.contains(item.first);
   });
@@ -205,4 +235,11 @@
   return found == view.by_mark.end() ? kNoServerIndex : found->second;
 }
 
+ServerIndex FindServerOfFlow(const MarkView& view, Mark mark) {
+  const ServerIndex index = FindServerByMark(view, mark);
+  if (index != kPreviousIncarnation) return index;
+  const auto found = view.successors.find(mark);
+  return found == view.successors.end() ? index : found->second;
+}
+
 }  // namespace knapweedlift
--- a/core/placement/mark_view.h
+++ b/core/placement/mark_view.h
@@ -104,6 +104,9 @@
   Revision as_of = 0;
   std::vector<ServerTarget> servers;
   absl::flat_hash_map<Mark, ServerIndex> by_mark;
+  // Restarted servers by the marks of their previous incarnations, as far as
+  // they may hold flows with such a mark.
+  absl::flat_hash_map<Mark, ServerIndex> successors;
   // Servers on which new flows may be placed, indexed by service.
   std::vector<std::vector<ServerIndex>> eligible_servers;
   // Shared between views until a route changes. Never null.
@@ -148,6 +151,14 @@
 // Returns the server with `mark`, or one of the special indexes above.
 ServerIndex FindServerByMark(const MarkView& view, Mark mark);
 
+// Returns the server that may hold a flow with `mark`: the one that
+// FindServerByMark returns or, for the mark of a previous incarnation, the
+// restarted server. Flows of the previous incarnation, which the server does
+// not hold, it resets itself. The result is kPreviousIncarnation if the server
+// cannot have accepted flows with the mark, since they were sent to another
+// address, or must not keep them, since they are of another service.
+ServerIndex FindServerOfFlow(const MarkView& view, Mark mark);
+
 }  // namespace knapweedlift
 
 #endif  // KNAPWEEDLIFT_CORE_PLACEMENT_MARK_VIEW_H_
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -35,6 +35,17 @@
   record = {.revision = revision, .removed = true, .received_at = now};
 }
 
+// Retires the mark of a server that has restarted since `previous`.
+void RetireMark(Registry& registry, const ServerFact& previous,
+                const ServerFact& present, TimePoint now) {
+  if (previous.mark == kNoMark || previous.mark == present.mark) return;
+  registry.retired_marks.push_back({.mark = previous.mark,
+                                    .retired_at = now,
+                                    .server = previous.name,
+                                    .service = previous.service,
+                                    .endpoint = previous.endpoint});
+}
+
 void MergeServer(Registry& registry, const ServerChange& change,
                  const FactDelta& delta, TimePoint now) {
   const auto [found, added] = registry.servers.try_emplace(change.name);
@@ -47,12 +58,8 @@
   record.revision = change.revision;
   record.received_at = now;
   record.removed = false;
-  const Mark previous_mark = record.fact.mark;
+  RetireMark(registry, record.fact, *change.server, now);
   record.fact = *change.server;
-  if (previous_mark != kNoMark && previous_mark != record.fact.mark) {
-    registry.retired_marks.push_back(
-        {.mark = previous_mark, .retired_at = now});
-  }
 }
 
 bool HasNewConfig(const Registry& registry, const FactDelta& delta) {
@@ -207,11 +214,7 @@
     if (missing && !record.removed) {
       SetRemoved(found->second, snapshot.as_of, snapshot, now);
     }
-    const bool restarted = found->second.fact.mark != record.fact.mark;
-    if (restarted && record.fact.mark != kNoMark) {
-      repaired.retired_marks.push_back(
-          {.mark = record.fact.mark, .retired_at = now});
-    }
+    RetireMark(repaired, record.fact, found->second.fact, now);
   }
   for (const auto& [address, record] : registry.routes) {
     const auto [found, missing] = repaired.routes.try_emplace(address, record);
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -46,10 +46,16 @@
 };
 
 // The mark of an earlier incarnation of a server. The flows of that
-// incarnation have ended.
+// incarnation have ended, but the next incarnation may have accepted flows with
+// this mark: its SYNs are placed by the entry of the earlier one until a new
+// entry arrives.
 struct RetiredMark {
   Mark mark = kNoMark;
   TimePoint retired_at;
+  // The earlier incarnation.
+  std::string server;
+  std::string service;
+  Endpoint endpoint;
 
   auto operator<=>(const RetiredMark&) const = default;
 };
--- a/core/result_code.cc
+++ b/core/result_code.cc
@@ -40,6 +40,9 @@
     {kHandedUnconfirmed, "handed_unconfirmed",
      "This VM's facts are not confirmed; the packet was relayed to another "
      "VM."},
+    {kForwardedToRestarted, "forwarded_to_restarted",
+     "The packet's mark is that of a previous incarnation of a backend server; "
+     "the restarted server got it, since it may hold the flow."},
     {kDropUnknownService, "drop_unknown_service",
      "No service of the sheet has this address, port and protocol."},
     {kDropServerGone, "drop_server_gone",
@@ -69,6 +72,9 @@
      "The flow's backend server has ended or is down; the flow was reset."},
     {kResetNoRoom, "reset_no_room",
      "The service has too little capacity; admission reset the new flow."},
+    {kResetServerRestarted, "reset_server_restarted",
+     "The flow's backend server has restarted at another address or for "
+     "another service; the flow was reset."},
     {kBadGeneveShort, "bad_geneve_short",
      "The datagram is shorter than its Geneve header."},
     {kBadGeneveVersion, "bad_geneve_version", "The Geneve version is not 0."},
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -27,6 +27,7 @@
   kForwardedWithoutRoute = 109,
   kHandedToHome = 110,
   kHandedUnconfirmed = 111,
+  kForwardedToRestarted = 112,
   // Valid packets that are dropped or answered with a reset.
   kDropUnknownService = 200,
   kDropServerGone = 201,
@@ -42,6 +43,7 @@
   kResetNoServer = 221,
   kResetServerGone = 222,
   kResetNoRoom = 223,
+  kResetServerRestarted = 224,
   // Malformed packets that are dropped.
   kBadGeneveShort = 300,
   kBadGeneveVersion = 301,
--- a/lab/marks/testbed.cc
+++ b/lab/marks/testbed.cc
@@ -136,7 +136,7 @@
                   {names::kColdLeftMs, 0},
                   {names::kVersion, "v1"},
                   {names::kSequence, 1},
-                  {names::kBorn, kServerStartTimeMs}}
+                  {names::kBorn, kServerStartTimeMs + restarts_[server.id()]}}
                  .dump());
 }
 
@@ -150,6 +150,15 @@
   servers_.at(id)->SetState(SimServerState::kUnreachable, Now());
 }
 
+void MarksTestbed::Restart(const std::string& id) {
+  ++restarts_[id];
+  servers_.at(id)->SetState(SimServerState::kServing, Now());
+}
+
+void MarksTestbed::RegisterAgain(const std::string& id) {
+  PublishServer(*servers_.at(id), server_domains_.at(id), names::kStateReady);
+}
+
 void MarksTestbed::Overload(const std::string& id) {
   servers_.at(id)->SetState(SimServerState::kOverloaded, Now());
 }
--- a/lab/marks/testbed.h
+++ b/lab/marks/testbed.h
@@ -70,6 +70,11 @@
   void Drain(const std::string& id);
   // Stops the server without notice; its store entry remains.
   void Crash(const std::string& id);
+  // Starts a crashed server again under its id. Its store entry remains that of
+  // the previous incarnation.
+  void Restart(const std::string& id);
+  // Writes the store entry of the restarted server.
+  void RegisterAgain(const std::string& id);
   // Makes the server refuse connections while it answers most requests.
   void Overload(const std::string& id);
   // Sets the state of a server, whose store entry remains as it is.
@@ -127,6 +132,8 @@
   SimRouter router_;
   std::map<std::string, std::unique_ptr<SimServer>> servers_;
   std::map<std::string, std::string> server_domains_;
+  // Restarts of each server, which tell its start times apart.
+  std::map<std::string, int> restarts_;
   std::vector<std::unique_ptr<SimClients>> clients_;
   ServerTotals server_totals_;
   std::set<std::string> executed_requests_;
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -276,10 +276,15 @@
 }
 
 bool HealthMonitor::TerminateFlowsOfSuspects(TimePoint now) {
+  const MarkViewPtr view = view_.view();
   std::vector<Mark> to_terminate;
   for (const auto& [mark, health] : table_.servers) {
-    const bool should_terminate =
-        IsConfirmedDown(table_, mark, now) && terminated_.insert(mark).second;
+    // Flows with the mark of a previous incarnation may be those of the
+    // restarted server, which the suspicion does not concern.
+    const bool restarted = view != nullptr && view->successors.contains(mark);
+    const bool should_terminate = !restarted &&
+                                  IsConfirmedDown(table_, mark, now) &&
+                                  terminated_.insert(mark).second;
     if (should_terminate) to_terminate.push_back(mark);
   }
   if (to_terminate.empty()) return false;
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -120,7 +120,7 @@
   answer["facts_age_ms"] = flow->placement.facts_age.count();
   answer["last_packet_ms_ago"] = (now - flow->last_seen).count();
   answer["waiting"] = flow->waiting_since != TimePoint::max();
-  return FindServerByMark(view, flow->mark);
+  return FindServerOfFlow(view, flow->mark);
 }
 
 json CandidateJson(const MarkView& view, const ExplainedCandidate& candidate,
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -39,7 +39,7 @@
 }
 
 std::string ServerName(const MarkView& view, Mark mark) {
-  const ServerIndex index = FindServerByMark(view, mark);
+  const ServerIndex index = FindServerOfFlow(view, mark);
   return index < view.servers.size() ? view.servers[index].fact.name : "";
 }
 
