Tell flows of a dropped route from those that were never recorded

Cause: a flow counted as one whose route was dropped if it was in the flow table when its doubt was first recorded. One that was forwarded while the table of doubts was full is in the flow table too, and was reset on a doubt.

Change: the entry of a flow says whether this VM knew its route.

--- a/core/flow/marked_flows.cc
+++ b/core/flow/marked_flows.cc
@@ -193,15 +193,17 @@
   const auto [found, added] = map.unrouted.try_emplace(fingerprint);
   UnroutedFlow& flow = found->second;
   if (added) {
+    const MarkedFlow* known = FindMarkedFlow(map, fingerprint);
     flow.since = now;
-    flow.had_route = map.flows.contains(fingerprint);
+    flow.had_route = known != nullptr && known->routed;
   }
   flow.last_seen = now;
   return !flow.had_route && confirmed_at < flow.since + kMaxFactsLag &&
          now < flow.since + kMaxRouteDoubt;
 }
 
-void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint) {
+void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow* flow) {
+  if (flow != nullptr) flow->routed = true;
   if (!map.unrouted.empty()) map.unrouted.erase(fingerprint);
 }
 
--- a/core/flow/marked_flows.h
+++ b/core/flow/marked_flows.h
@@ -46,6 +46,8 @@
   // Next byte that the caller will send, and next byte that it expects.
   uint32_t next_sequence = 0;
   uint32_t acknowledged = 0;
+  // This VM has forwarded the flow while it knew its route.
+  bool routed = false;
   // A response to the caller's first request was seen.
   bool served = false;
   TimePoint last_seen;
@@ -64,8 +66,7 @@
   // The first such packet.
   TimePoint since;
   TimePoint last_seen;
-  // This VM forwarded the flow by its route before, so that the route was
-  // dropped.
+  // This VM knew the route before, so that the route was dropped.
   bool had_route = false;
 
   auto operator<=>(const UnroutedFlow&) const = default;
@@ -150,8 +151,9 @@
 bool IsRouteInDoubt(MarkedFlowMap& map, uint64_t fingerprint,
                     TimePoint confirmed_at, TimePoint now);
 
-// Records that this VM knows the route of a flow.
-void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint);
+// Records that this VM knows the route of a flow. `flow` is its entry; null if
+// the flow is not tracked.
+void RecordRoute(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow* flow);
 
 // Removes flows that were idle for `idle_timeout`, and with shorter timeouts
 // those that were closed or never completed the handshake.
--- a/servers/marks/mark_forwarder.cc
+++ b/servers/marks/mark_forwarder.cc
@@ -114,8 +114,8 @@
     const ServerTarget& server = view_->servers[decision.server];
     const PacketObservation observation =
         RecordPacket(map, fingerprint, packet, server.fact.mark, now_);
-    if (!decision.without_route) RecordRoute(map, fingerprint);
     MarkedFlow* flow = FindMarkedFlow(map, fingerprint);
+    if (!decision.without_route) RecordRoute(map, fingerprint, flow);
     if (flow == nullptr) return;
     if (packet.syn) StoreSyn(flow, datagram);
     if (decision.reason == ResultCode::kForwardedPlaced) {
--- a/tests/core/unrouted_flow_test.cc
+++ b/tests/core/unrouted_flow_test.cc
@@ -50,7 +50,9 @@
     if (decision.verdict == MarkVerdict::kForward) {
       RecordPacket(map, kFlow, packet, view.servers[decision.server].fact.mark,
                    now);
-      if (!decision.without_route) RecordRoute(map, kFlow);
+      if (!decision.without_route) {
+        RecordRoute(map, kFlow, FindMarkedFlow(map, kFlow));
+      }
     }
     return decision;
   }
@@ -193,3 +195,15 @@
   ExpireMarkedFlows(map, kIdleTimeout, At(101) + kIdleTimeout);
   cr_expect(map.unrouted.empty());
 }
+
+// The first flow took the only place, so that the second one was forwarded
+// without a record of its doubt.
+Test(unrouted_flow,
+     forwarded_beyond_the_capacity_is_not_taken_for_a_routed_one) {
+  MarkedFlowMap map{.capacity = 1};
+  IsRouteInDoubt(map, 1, At(0), At(100));
+  IsRouteInDoubt(map, 2, At(0), At(100));
+  RecordPacket(map, 2, OpenPacket(Server(1).mark), Server(1).mark, At(100));
+  RecordRoute(map, 1, nullptr);
+  cr_expect(IsRouteInDoubt(map, 2, At(0), At(200)));
+}
