--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# All daemons are stopped and started in turn (TROUBLE=0: none is) while flows
+# open. Exits with 1 if FLOW was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+daemon=target/main/knapweedlift
+standin=target/review-3/standin
+[ -x "$daemon" ] && [ -x "$standin" ] || { echo "build first" >&2; exit 2; }
+directory=$(mktemp -d) || exit 2
+trap 'rm -rf "$directory"' EXIT
+mode=trouble
+[ "${TROUBLE:-1}" != 0 ] || mode=calm
+timeout -k 3 112 "$standin" roll "$daemon" "$directory" review/13/record.txt "$mode"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/standins-3/standin.cc
+++ b/review/standins-3/standin.cc
@@ -1323,12 +1323,14 @@
   StartAll(world, {kOld, kDropped});
   world.long_flows_used = true;
   world.lost_percent = 1;
-  int64_t next = Elapsed(), next_stop = Elapsed() + 3'000;
+  constexpr int64_t kFlowsPerSecond = 600;
+  const int64_t begun = Elapsed();
+  int64_t next_stop = begun + 3'000;
   const int64_t until = Elapsed() + 75'000;
   int opened = 0, stopped = 0;
   while (Elapsed() < until + 4'000) {
-    while (Elapsed() >= next && Elapsed() < until) {
-      next += 2;
+    while (Elapsed() < until &&
+           opened < (Elapsed() - begun) * kFlowsPerSecond / 1'000) {
       world.OpenLongFlow(++opened % kZones);
     }
     if (!calm && Elapsed() >= next_stop && Elapsed() < until) {
