--- a/review/standins-3/standin.cc
+++ b/review/standins-3/standin.cc
@@ -498,6 +498,8 @@
   int64_t opened_ms = 0;
   // Packets without SYN, and the endpoint that each reached.
   std::vector<std::pair<int64_t, std::string>> packets;
+  // SYNs: through which VM each was sent, and which endpoint each reached.
+  std::vector<std::pair<int64_t, std::string>> syns;
 };
 // A flow that stays open for several requests.
 struct LongFlow {
@@ -920,6 +922,7 @@
       }
       if (flow.syn_acks == 0) e.half_open.push_back(id);
       flow.syn = p;
+      traces[id].syns.push_back({NowMs(), "reached " + e.id});
       SendSynAck(e, flow);
       return;
     }
@@ -994,7 +997,11 @@
                    .src = flow.id.src, .dst = flow.id.dst,
                    .dport = flow.id.dport, .sport = flow.id.sport,
                    .data = data};
-    SendTo(clients_[flow.zone], vms[VmOf(flow)].address, data_port_, Encode(p));
+    const Vm& vm = vms[VmOf(flow)];
+    if (flags & kSyn) {
+      traces[flow.id].syns.push_back({NowMs(), "sent through " + vm.name});
+    }
+    SendTo(clients_[flow.zone], vm.address, data_port_, Encode(p));
   }
   void Ask(LongFlow& flow) {
     std::string data = Format("POST / HTTP/1.1\r\nX-Attempt-Id: f%d-%d\r\n",
@@ -1311,6 +1318,14 @@
              static_cast<double>(trace.opened_ms - start_ms) / 1'000, others,
              static_cast<double>(packets[i].first - start_ms) / 1'000,
              packets[i].second.c_str(), static_cast<long long>(kReorderMs));
+      for (const auto& [at, what] : trace.syns) {
+        Record("  %.3f its SYN %s", static_cast<double>(at - start_ms) / 1'000,
+               what.c_str());
+      }
+      for (const auto& [at, endpoint] : packets) {
+        Record("  %.3f a packet of it reached %s",
+               static_cast<double>(at - start_ms) / 1'000, endpoint.c_str());
+      }
       break;
     }
   }
