--- a/core/health/server_health.cc
+++ b/core/health/server_health.cc
@@ -1,6 +1,7 @@
 #include "core/health/server_health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace knapweedlift {
 namespace {
@@ -36,7 +37,7 @@
   const bool suspect = health.state == HealthState::kSuspect;
   if (suspect && !IsSameServer(reuse, health.evidence_since,
                                health.connection_refused, listed, now)) {
-    health.in_doubt = !health.connection_refused;
+    health.in_doubt = true;
     return HealthVerdict::kSuspect;
   }
   const ServerHealth before = health;
@@ -155,6 +156,27 @@
   return due;
 }
 
+std::vector<Mark> SuspectsInDoubt(const HealthTable& table) {
+  std::vector<Mark> suspects;
+  for (const auto& [mark, health] : table.servers) {
+    const bool in_doubt =
+        health.state == HealthState::kSuspect && health.in_doubt;
+    if (in_doubt) suspects.push_back(mark);
+  }
+  return suspects;
+}
+
+bool SettleDoubt(HealthTable& table, Mark mark, Listing listing) {
+  const auto found = table.servers.find(mark);
+  if (found == table.servers.end()) return false;
+  ServerHealth& health = found->second;
+  const bool has_ended =
+      listing == Listing::kReplaced ||
+      (listing == Listing::kRemoved && health.connection_refused);
+  if (health.state != HealthState::kSuspect || !has_ended) return false;
+  return std::exchange(health.in_doubt, false);
+}
+
 bool ExpireSuspicions(HealthTable& table, TimePoint now) {
   bool expired = false;
   for (auto& [mark, health] : table.servers) {
--- a/core/health/server_health.h
+++ b/core/health/server_health.h
@@ -28,11 +28,13 @@
   int consecutive_failures = 0;
   // When the evidence for the present state began.
   TimePoint evidence_since;
-  // A check was refused: no process listens at the server's address any longer.
+  // A check was refused: the server has ended or been restarted, or it is full,
+  // or its links refuse connections.
   bool connection_refused = false;
   // A suspect passed its last check, but another server may have its address by
   // now. The instance number in each packet keeps other servers from taking
-  // packets of its flows, so these may continue.
+  // packets of its flows, so these may continue. An answer on one of them shows
+  // that the server lives, and SettleDoubt that it does not.
   bool in_doubt = false;
   // No check starts before this time, unless another VM suspects the server.
   TimePoint next_check_at;
@@ -167,6 +169,25 @@
 // Suspects are checked until they pass.
 std::vector<Mark> TakeDueChecks(HealthTable& table, TimePoint now);
 
+// Returns the suspects that passed their last check, though it does not show
+// which server answered it.
+std::vector<Mark> SuspectsInDoubt(const HealthTable& table);
+
+// What the platform's facts say of a server's entry.
+enum class Listing : uint8_t {
+  kListed,
+  // Removed for good, unless the server lists itself again.
+  kRemoved,
+  // Another server is listed at the same address.
+  kReplaced,
+};
+
+// Ends the doubt about a suspect whose end the facts show: another server has
+// its address, or it refused connections and its entry is gone. A removed entry
+// alone shows no end, as it lapses while a server is cut off. Returns true if
+// the flows of the suspect may be reset from now on.
+bool SettleDoubt(HealthTable& table, Mark mark, Listing listing);
+
 // Expires suspicions that were not renewed. Returns true if any expired.
 bool ExpireSuspicions(HealthTable& table, TimePoint now);
 
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -68,6 +68,7 @@
   for (const Mark mark : TakeDueChecks(table_, now)) {
     if (IsListedOrHeld(mark)) StartCheck(mark, Duration(0));
   }
+  SettleDoubts();
   if (ExpireSuspicions(table_, now)) on_change_(Urgency::kDeferred);
   TerminateFlowsOfSuspects(now);
   ReportSuspects(now);
@@ -152,6 +153,24 @@
   return !view->servers[index].unlisted || view->servers[index].removal_held;
 }
 
+Listing HealthMonitor::ListingOf(Mark mark) const {
+  const MarkViewPtr view = view_.view();
+  const ServerIndex index = FindServerByMark(*view, mark);
+  const bool replaced =
+      index < view->servers.size() && view->servers[index].replaced;
+  if (replaced) return Listing::kReplaced;
+  return IsListedOrHeld(mark) ? Listing::kListed : Listing::kRemoved;
+}
+
+void HealthMonitor::SettleDoubts() {
+  for (const Mark mark : SuspectsInDoubt(table_)) {
+    if (!SettleDoubt(table_, mark, ListingOf(mark))) continue;
+    LogInfo("server_end_confirmed",
+            {{"server", ServerNameOf(*view_.view(), mark)}});
+    terminated_.erase(mark);
+  }
+}
+
 void HealthMonitor::StartCheck(Mark mark, Duration delay) {
   // Reports of other VMs may arrive before the first view.
   const MarkViewPtr view = view_.view();
@@ -234,6 +253,7 @@
       {{"server", server.fact.name},
        {"service", server.fact.service},
        {"address", FormatEndpoint(server.fact.endpoint)},
+       {"passed", outcome == CheckOutcome::kPassed},
        {"refused", outcome == CheckOutcome::kRefused},
        {"may_be_full", checked.may_be_full},
        {"flows_continue", is_suspect && !IsConfirmedDown(table_, mark, now)}});
--- a/servers/marks/health_monitor.h
+++ b/servers/marks/health_monitor.h
@@ -66,6 +66,9 @@
                       TimePoint now) const;
   // False for a server whose removal by the platform is final.
   bool IsListedOrHeld(Mark mark) const;
+  Listing ListingOf(Mark mark) const;
+  // Stops keeping the flows of suspects whose end the facts show.
+  void SettleDoubts();
   void StartCheck(Mark mark, Duration delay);
   CheckOutcome RunCheck(Mark mark, const Endpoint& endpoint);
   // Checks some server that is considered healthy. If it fails as well, this
