Check all suspects in turn when more are due than fit

Cause: checks of suspects that came due while 32 were in progress were skipped and put off by 500 ms. Suspects that come due at the same moment as 32 others with lower marks were thus never checked, as long as those stayed suspects, and their flows were reset on a verdict without any age.

Change: only as many are taken as there is room for; the others stay due and are checked at the next tick, 40 ms later.

Test: suspects_without_a_free_check_are_checked_next fails before.

--- a/core/health/server_health.cc
+++ b/core/health/server_health.cc
@@ -144,9 +144,11 @@
   return found != table.servers.end() && found->second.consecutive_failures > 0;
 }
 
-std::vector<Mark> TakeDueChecks(HealthTable& table, TimePoint now) {
+std::vector<Mark> TakeDueChecks(HealthTable& table, size_t max_count,
+                                TimePoint now) {
   std::vector<Mark> due;
   for (auto& [mark, health] : table.servers) {
+    if (due.size() == max_count) break;
     const bool is_due =
         health.state == HealthState::kSuspect && now >= health.next_check_at;
     if (!is_due) continue;
--- a/core/health/server_health.h
+++ b/core/health/server_health.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLIFT_CORE_HEALTH_SERVER_HEALTH_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -165,9 +166,11 @@
 // reference check of a healthy server.
 bool NeedsReferenceCheck(const HealthTable& table, Mark mark);
 
-// Returns the suspects whose next check is due and schedules their next one.
-// Suspects are checked until they pass.
-std::vector<Mark> TakeDueChecks(HealthTable& table, TimePoint now);
+// Returns at most `max_count` suspects whose next check is due and schedules
+// their next one. Suspects are checked until they pass. Those that are left out
+// stay due.
+std::vector<Mark> TakeDueChecks(HealthTable& table, size_t max_count,
+                                TimePoint now);
 
 // Returns the suspects that passed their last check, though it does not show
 // which server answered it.
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -65,7 +65,9 @@
 
 void HealthMonitor::Tick(TimePoint now) {
   DetectSilentServers(now);
-  for (const Mark mark : TakeDueChecks(table_, now)) {
+  const size_t free_checks =
+      kMaxConcurrentChecks - std::min(kMaxConcurrentChecks, active_checks_);
+  for (const Mark mark : TakeDueChecks(table_, free_checks, now)) {
     if (IsListedOrHeld(mark)) StartCheck(mark, Duration(0));
   }
   SettleDoubts();
--- a/tests/core/server_health_test.cc
+++ b/tests/core/server_health_test.cc
@@ -211,14 +211,38 @@
 
 Test(server_health, suspect_is_checked_until_it_passes) {
   HealthTable table = TableWithSuspect();
-  cr_expect(TakeDueChecks(table, At(kSuspectAt + 1)).empty());
+  cr_expect(TakeDueChecks(table, 1, At(kSuspectAt + 1)).empty());
   const TimePoint later = At(kSuspectAt) + kSuspectCheckInterval;
-  cr_expect(TakeDueChecks(table, later) == std::vector<Mark>({kServer}));
-  cr_expect(TakeDueChecks(table, later).empty());
+  cr_expect(TakeDueChecks(table, 0, later).empty());
+  cr_expect(TakeDueChecks(table, 1, later) == std::vector<Mark>({kServer}));
+  cr_expect(TakeDueChecks(table, 1, later).empty());
   RecordCheck(table, kServer, CheckOutcome::kPassed, {}, later);
   cr_expect(not IsSuspect(table, kServer, later));
 }
 
+// Guards against suspects that are never checked again, and whose flows are
+// reset though they live, because as many others as are checked at a time come
+// due at the same moment and are always first.
+Test(server_health, suspects_without_a_free_check_are_checked_next) {
+  constexpr Mark kSuspects = 5;
+  constexpr size_t kFreeChecks = 3;
+  HealthTable table;
+  for (Mark mark = 1; mark <= kSuspects; ++mark) {
+    RecordSilence(table, mark, At(1'000), kMeanWait, At(1'100));
+    for (int i = 0; i < kFailuresToSuspect; ++i) {
+      RecordCheck(table, mark, CheckOutcome::kTimedOut, {}, At(1'125));
+    }
+  }
+  TimePoint due_at = At(1'125) + kSuspectCheckInterval;
+  for (int round = 0; round < 3; ++round) {
+    cr_expect(TakeDueChecks(table, kFreeChecks, due_at) ==
+              std::vector<Mark>({1, 2, 3}));
+    cr_expect(TakeDueChecks(table, kFreeChecks, due_at + Duration(40)) ==
+              std::vector<Mark>({4, 5}));
+    due_at += kSuspectCheckInterval;
+  }
+}
+
 Test(server_health, suspect_that_soon_passes_a_check_is_healthy) {
   HealthTable table = TableWithSuspect();
   cr_expect(RecordCheck(table, kServer, CheckOutcome::kPassed, {}, At(1'700)) ==
