--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -7,6 +7,7 @@
 #include "core/fleet/catch_up.h"
 #include "core/fleet/first_facts.h"
 #include "core/fleet/load_notices.h"
+#include "core/fleet/openings.h"
 #include "core/fleet/relay_tree.h"
 #include "core/fleet/watcher_election.h"
 
@@ -278,6 +279,31 @@
   return {.answering_marks = notice.marks, .answered_at = notice.answered_at};
 }
 
+FleetMessageResult HandleMessage(FleetState& state, Registry& /*registry*/,
+                                 VmId /*sender*/, const Endpoint& /*from*/,
+                                 const OpeningNotice& notice, TimePoint now,
+                                 FleetOutbox& /*out*/) {
+  for (const Opening& opening : notice.openings) {
+    KeepOpening(state.openings, opening, now);
+  }
+  return {};
+}
+
+FleetMessageResult HandleMessage(FleetState& state, Registry& /*registry*/,
+                                 VmId /*sender*/, const Endpoint& /*from*/,
+                                 const OpeningQuery& query, TimePoint now,
+                                 FleetOutbox& out) {
+  HandleOpeningQuery(state, query, now, out);
+  return {};
+}
+
+FleetMessageResult HandleMessage(FleetState& /*state*/, Registry& /*registry*/,
+                                 VmId /*sender*/, const Endpoint& /*from*/,
+                                 const OpeningReply& reply, TimePoint /*now*/,
+                                 FleetOutbox& /*out*/) {
+  return {.opening_reply = reply};
+}
+
 // Leaves the watch to others until this VM has discovered its peers.
 void StartDiscovery(FleetState& state, TimePoint now) {
   state.discovery_ends_at =
@@ -295,6 +321,12 @@
   if (const auto* request = std::get_if<FactsRequest>(&message)) {
     return request->requester.has_value() ? &*request->requester : nullptr;
   }
+  if (const auto* query = std::get_if<OpeningQuery>(&message)) {
+    return &query->requester;
+  }
+  if (const auto* reply = std::get_if<OpeningReply>(&message)) {
+    return &reply->sender;
+  }
   const auto* referral = std::get_if<FactsReferral>(&message);
   return referral == nullptr ? nullptr : &referral->sender;
 }
@@ -339,6 +371,7 @@
   SendWaitingSnapshots(state, registry, now, out);
   SendDueLoadNotice(state, now, out);
   SendDueSnapshotRequest(state, registry, now, out);
+  ExpireOpenings(state.openings, now);
   if (state.watching && now >= state.next_lease_at) {
     SendLease(state, registry, now, out);
   }
--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "core/fleet/messages.h"
 #include "core/registry/registry.h"
 
@@ -51,6 +52,12 @@
   auto operator<=>(const RepairState&) const = default;
 };
 
+// Flows of the failure domain that this VM keeps while they open;
+// core/fleet/openings.h.
+struct OpeningTable {
+  absl::flat_hash_map<uint64_t, Opening> by_flow;
+};
+
 // Replication of facts and load between VMs. One VM, the watcher, watches the
 // platform and distributes its changes. Every VM can take over, so that each
 // side of a network partition has its own watcher.
@@ -105,6 +112,7 @@
   // Content and time of the last load notice.
   std::vector<ServerLoad> reported_loads;
   TimePoint reported_loads_at;
+  OpeningTable openings;
 };
 
 inline constexpr Duration kFleetGossipPeriod{500};
@@ -156,6 +164,7 @@
   // Servers that answered callers of another VM, and since when they have.
   std::vector<Mark> answering_marks;
   TimePoint answered_at;
+  std::optional<OpeningReply> opening_reply;
 
   auto operator<=>(const FleetMessageResult&) const = default;
 };
--- a/core/fleet/messages.h
+++ b/core/fleet/messages.h
@@ -6,12 +6,13 @@
 #include <variant>
 #include <vector>
 
+#include "core/flow/opening.h"
 #include "core/membership/members.h"
 #include "core/placement/load.h"
 #include "core/registry/facts.h"
 
 // Messages between VMs when packets carry marks. Forwarding a packet does not
-// depend on any of them.
+// depend on any of them, except that a copy of a SYN waits for an OpeningReply.
 namespace knapweedlift {
 
 // A VM as the sender of gossip knows it.
@@ -133,9 +134,41 @@
   auto operator<=>(const AnswerNotice&) const = default;
 };
 
+// Reports flows that are still opening to a VM that keeps them.
+struct OpeningNotice {
+  std::vector<Opening> openings;
+
+  auto operator<=>(const OpeningNotice&) const = default;
+};
+
+// Asks where the first copy of a SYN went.
+struct OpeningQuery {
+  OpeningId id;
+  // Its address, as the receiver may not know a VM that has just started.
+  VmAddress requester;
+  // A VM that is no keeper of the flow has passed the query on to one that is.
+  bool forwarded = false;
+
+  auto operator<=>(const OpeningQuery&) const = default;
+};
+
+// Reply to an OpeningQuery.
+struct OpeningReply {
+  OpeningId id;
+  // The sender's address; the receiver may not know the sender.
+  VmAddress sender;
+  // The query was forwarded, so that others may reply as well.
+  bool forwarded = false;
+  // Nothing if the sender does not keep the opening.
+  std::optional<Opening> opening;
+
+  auto operator<=>(const OpeningReply&) const = default;
+};
+
 using FleetMessage =
     std::variant<FleetGossip, FactsNotice, FactsRequest, WatchLease,
-                 SuspicionNotice, LoadNotice, FactsReferral, AnswerNotice>;
+                 SuspicionNotice, LoadNotice, FactsReferral, AnswerNotice,
+                 OpeningNotice, OpeningQuery, OpeningReply>;
 
 // A message and the endpoints that it is sent to.
 struct FleetEnvelope {
--- a/core/flow/marked_flows.cc
+++ b/core/flow/marked_flows.cc
@@ -171,9 +171,54 @@
   return observation;
 }
 
-void MoveFlow(MarkedFlowMap& map, MarkedFlow& flow, Mark mark, TimePoint now) {
+void RecordPlacement(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow& flow,
+                     const FlowPlacement& placement) {
+  flow.placement = placement;
+  if (map.due_openings.size() >= map.capacity) return;
+  map.due_openings.push_back(
+      {.id = {.flow = fingerprint, .syn_sequence = flow.syn_sequence},
+       .due_at = placement.placed_at + kOpeningReportDelay});
+}
+
+std::vector<Opening> TakeDueOpenings(MarkedFlowMap& map, TimePoint now) {
+  std::vector<Opening> openings;
+  while (!map.due_openings.empty() && map.due_openings.front().due_at <= now) {
+    const OpeningId id = map.due_openings.front().id;
+    map.due_openings.pop_front();
+    const MarkedFlow* flow = FindMarkedFlow(map, id.flow);
+    const bool opening = flow != nullptr &&
+                         flow->state == MarkedFlowState::kOpening &&
+                         flow->syn_sequence == id.syn_sequence;
+    if (!opening) continue;
+    openings.push_back(
+        {.id = id, .mark = flow->mark, .placed_at = flow->placement.placed_at});
+  }
+  return openings;
+}
+
+bool IsUnseenCopy(const MarkedPacket& packet, const MarkedFlow* flow) {
+  const bool seen = flow != nullptr && flow->syn_sequence == packet.sequence;
+  return packet.syn && packet.retransmit_count > 0 && !seen;
+}
+
+void AdoptOpening(MarkedFlowMap& map, const MarkedPacket& packet,
+                  const Opening& opening, TimePoint now) {
+  const uint64_t fingerprint = opening.id.flow;
+  if (!IsUnseenCopy(packet, FindMarkedFlow(map, fingerprint))) return;
+  RecordPacket(map, fingerprint, packet, opening.mark, now);
+  MarkedFlow* flow = FindMarkedFlow(map, fingerprint);
+  if (flow == nullptr) return;
+  flow->placement = {.reason = ResultCode::kForwardedKnownOpening,
+                     .placed_at = opening.placed_at};
+}
+
+void MoveFlow(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow& flow,
+              Mark mark, TimePoint now) {
   DetachFromServer(map, flow);
   flow.mark = mark;
+  map.due_openings.push_front(
+      {.id = {.flow = fingerprint, .syn_sequence = flow.syn_sequence},
+       .due_at = now});
   ServerTraffic& traffic = map.servers[mark];
   ++traffic.flows;
   StartWaiting(traffic, flow, now);
@@ -263,6 +308,16 @@
   return sum;
 }
 
+std::vector<Opening> MarkedFlowTable::TakeDueOpenings(TimePoint now) {
+  std::vector<Opening> openings;
+  for (const auto& shard : shards_) {
+    absl::MutexLock lock(&shard->mutex);
+    const auto due = knapweedlift::TakeDueOpenings(shard->map, now);
+    openings.insert(openings.end(), due.begin(), due.end());
+  }
+  return openings;
+}
+
 absl::flat_hash_map<Mark, ResponseWaits> MarkedFlowTable::TakeResponseWaits() {
   absl::flat_hash_map<Mark, ResponseWaits> sum;
   for (const auto& shard : shards_) {
--- a/core/flow/marked_flows.h
+++ b/core/flow/marked_flows.h
@@ -3,12 +3,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
 #include "core/flow/flow_table.h"
+#include "core/flow/opening.h"
 #include "core/packet/marked_packet.h"
 #include "core/registry/facts.h"
 #include "core/result_code.h"
@@ -100,6 +103,14 @@
   bool operator==(const ResponseWaits&) const = default;
 };
 
+// A placed flow whose keepers are told of it if it is still opening then.
+struct DueOpening {
+  OpeningId id;
+  TimePoint due_at;
+
+  auto operator<=>(const DueOpening&) const = default;
+};
+
 // The flows of one shard. The shard's lock guards them.
 struct MarkedFlowMap {
   absl::flat_hash_map<uint64_t, MarkedFlow, FingerprintHash> flows;
@@ -108,6 +119,8 @@
   absl::flat_hash_map<Mark, ServerTraffic> servers;
   // Since they were last taken, by server.
   absl::flat_hash_map<Mark, ResponseWaits> waits;
+  // In the order of their times.
+  std::deque<DueOpening> due_openings;
   size_t capacity = 0;
 };
 
@@ -137,8 +150,31 @@
                                const MarkedPacket& packet, Mark mark,
                                TimePoint now);
 
-// Moves an opening flow to the server with `mark`.
-void MoveFlow(MarkedFlowMap& map, MarkedFlow& flow, Mark mark, TimePoint now);
+// From a SYN until its keepers are told. An answered SYN is followed by the
+// caller's next packet within two round trips, and callers repeat an unanswered
+// one after 200 ms.
+inline constexpr Duration kOpeningReportDelay{40};
+
+// Records that this VM selected the server of an opening flow.
+void RecordPlacement(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow& flow,
+                     const FlowPlacement& placement);
+
+// Returns the openings whose keepers are to be told now: flows that are still
+// opening kOpeningReportDelay after their placement.
+std::vector<Opening> TakeDueOpenings(MarkedFlowMap& map, TimePoint now);
+
+// True for a copy of a SYN that this VM has not seen before, so that another VM
+// may have forwarded the SYN. `flow` is this VM's entry of the flow, or null.
+bool IsUnseenCopy(const MarkedPacket& packet, const MarkedFlow* flow);
+
+// Records the flow of an unseen copy as another VM has placed it.
+void AdoptOpening(MarkedFlowMap& map, const MarkedPacket& packet,
+                  const Opening& opening, TimePoint now);
+
+// Moves an opening flow to the server with `mark`. Its keepers are told at
+// once.
+void MoveFlow(MarkedFlowMap& map, uint64_t fingerprint, MarkedFlow& flow,
+              Mark mark, TimePoint now);
 
 void RemoveMarkedFlow(MarkedFlowMap& map, uint64_t fingerprint);
 
@@ -179,6 +215,9 @@
   // Combines the health data of all shards by server.
   absl::flat_hash_map<Mark, ServerTraffic> Traffic();
 
+  // Takes the due openings of all shards.
+  std::vector<Opening> TakeDueOpenings(TimePoint now);
+
   // Returns the waits of all shards by server since the last call.
   absl::flat_hash_map<Mark, ResponseWaits> TakeResponseWaits();
 
--- a/drivers/fleet.thrift
+++ b/drivers/fleet.thrift
@@ -166,6 +166,35 @@
   3: i64 answered_ms_ago
 }
 
+struct OpeningIdT {
+  1: i64 flow
+  2: i32 syn_sequence
+}
+
+struct OpeningT {
+  1: OpeningIdT id
+  2: i32 mark
+  3: i64 placed_ms_ago
+}
+
+struct OpeningNoticeT {
+  1: list<OpeningT> openings
+}
+
+struct OpeningQueryT {
+  1: OpeningIdT id
+  2: FleetVmT requester
+  3: optional bool forwarded
+}
+
+struct OpeningReplyT {
+  1: OpeningIdT id
+  // Absent if the sender does not keep the opening.
+  2: optional OpeningT opening
+  3: FleetVmT sender
+  4: optional bool forwarded
+}
+
 union FleetBodyT {
   1: FleetGossipT gossip
   2: FactsNoticeT facts_notice
@@ -175,6 +204,9 @@
   6: LoadNoticeT load_notice
   7: FactsReferralT facts_referral
   8: AnswerNoticeT answer_notice
+  9: OpeningNoticeT opening_notice
+  10: OpeningQueryT opening_query
+  11: OpeningReplyT opening_reply
 }
 
 struct FleetMessageT {
--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -110,7 +110,46 @@
   return referral;
 }
 
-// Encodes a message of each type into its field of the union.
+gen::OpeningIdT ToWire(const OpeningId& id) {
+  gen::OpeningIdT wire;
+  wire.flow = static_cast<int64_t>(id.flow);
+  wire.syn_sequence = static_cast<int32_t>(id.syn_sequence);
+  return wire;
+}
+
+OpeningId FromWire(const gen::OpeningIdT& wire) {
+  return {.flow = static_cast<uint64_t>(wire.flow),
+          .syn_sequence = static_cast<uint32_t>(wire.syn_sequence)};
+}
+
+gen::OpeningT ToWire(const Opening& opening, TimePoint now) {
+  gen::OpeningT wire;
+  wire.id = ToWire(opening.id);
+  wire.mark = static_cast<int32_t>(opening.mark);
+  wire.placed_ms_ago = (now - opening.placed_at).count();
+  return wire;
+}
+
+Opening FromWire(const gen::OpeningT& wire, TimePoint now) {
+  return {.id = FromWire(wire.id),
+          .mark = static_cast<Mark>(wire.mark),
+          .placed_at = now - Duration(Narrow<uint32_t>(wire.placed_ms_ago))};
+}
+
+OpeningQuery FromWire(const gen::OpeningQueryT& wire) {
+  return {.id = FromWire(wire.id),
+          .requester = FromWire(wire.requester),
+          .forwarded = wire.__isset.forwarded && wire.forwarded};
+}
+
+OpeningReply FromWire(const gen::OpeningReplyT& wire, TimePoint now) {
+  OpeningReply reply{.id = FromWire(wire.id),
+                     .sender = FromWire(wire.sender),
+                     .forwarded = wire.__isset.forwarded && wire.forwarded};
+  if (wire.__isset.opening) reply.opening = FromWire(wire.opening, now);
+  return reply;
+}
+
 AnswerNotice FromWire(const gen::AnswerNoticeT& wire, TimePoint now) {
   AnswerNotice notice{
       .root = Narrow<VmId>(wire.root),
@@ -121,6 +160,7 @@
   return notice;
 }
 
+// Encodes a message of each type into its field of the union.
 struct BodyEncoder {
   gen::FleetBodyT& body;
   TimePoint now;
@@ -202,6 +242,30 @@
     }
     body.__set_load_notice(wire);
   }
+  void operator()(const OpeningNotice& notice) const {
+    gen::OpeningNoticeT wire;
+    for (const Opening& opening : notice.openings) {
+      wire.openings.push_back(ToWire(opening, now));
+    }
+    body.__set_opening_notice(wire);
+  }
+  void operator()(const OpeningQuery& query) const {
+    gen::OpeningQueryT wire;
+    wire.id = ToWire(query.id);
+    wire.requester = ToWire(query.requester);
+    if (query.forwarded) wire.__set_forwarded(true);
+    body.__set_opening_query(wire);
+  }
+  void operator()(const OpeningReply& reply) const {
+    gen::OpeningReplyT wire;
+    wire.id = ToWire(reply.id);
+    wire.sender = ToWire(reply.sender);
+    if (reply.forwarded) wire.__set_forwarded(true);
+    if (reply.opening.has_value()) {
+      wire.__set_opening(ToWire(*reply.opening, now));
+    }
+    body.__set_opening_reply(wire);
+  }
 };
 
 FleetMessage BodyFromWire(const gen::FleetBodyT& body, TimePoint now) {
@@ -260,6 +324,19 @@
     }
     return notice;
   }
+  if (body.__isset.opening_notice) {
+    OpeningNotice notice;
+    for (const gen::OpeningT& entry : body.opening_notice.openings) {
+      notice.openings.push_back(FromWire(entry, now));
+    }
+    return notice;
+  }
+  if (body.__isset.opening_query) {
+    return FromWire(body.opening_query);
+  }
+  if (body.__isset.opening_reply) {
+    return FromWire(body.opening_reply, now);
+  }
   throw InvalidMessage{};
 }
 
--- a/drivers/gen/fleet_types.cpp
+++ b/drivers/gen/fleet_types.cpp
@@ -3911,6 +3911,713 @@
 }
 
 
+OpeningIdT::~OpeningIdT() noexcept {
+}
+
+
+void OpeningIdT::__set_flow(const int64_t val) {
+  this->flow = val;
+}
+
+void OpeningIdT::__set_syn_sequence(const int32_t val) {
+  this->syn_sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const OpeningIdT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpeningIdT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->flow);
+          this->__isset.flow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->syn_sequence);
+          this->__isset.syn_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpeningIdT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpeningIdT");
+
+  xfer += oprot->writeFieldBegin("flow", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->flow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("syn_sequence", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->syn_sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpeningIdT &a, OpeningIdT &b) {
+  using ::std::swap;
+  swap(a.flow, b.flow);
+  swap(a.syn_sequence, b.syn_sequence);
+  swap(a.__isset, b.__isset);
+}
+
+OpeningIdT::OpeningIdT(const OpeningIdT& other144) noexcept {
+  flow = other144.flow;
+  syn_sequence = other144.syn_sequence;
+  __isset = other144.__isset;
+}
+OpeningIdT::OpeningIdT(OpeningIdT&& other145) noexcept {
+  flow = other145.flow;
+  syn_sequence = other145.syn_sequence;
+  __isset = other145.__isset;
+}
+OpeningIdT& OpeningIdT::operator=(const OpeningIdT& other146) noexcept {
+  flow = other146.flow;
+  syn_sequence = other146.syn_sequence;
+  __isset = other146.__isset;
+  return *this;
+}
+OpeningIdT& OpeningIdT::operator=(OpeningIdT&& other147) noexcept {
+  flow = other147.flow;
+  syn_sequence = other147.syn_sequence;
+  __isset = other147.__isset;
+  return *this;
+}
+void OpeningIdT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpeningIdT(";
+  out << "flow=" << to_string(flow);
+  out << ", " << "syn_sequence=" << to_string(syn_sequence);
+  out << ")";
+}
+
+
+OpeningT::~OpeningT() noexcept {
+}
+
+
+void OpeningT::__set_id(const OpeningIdT& val) {
+  this->id = val;
+}
+
+void OpeningT::__set_mark(const int32_t val) {
+  this->mark = val;
+}
+
+void OpeningT::__set_placed_ms_ago(const int64_t val) {
+  this->placed_ms_ago = val;
+}
+std::ostream& operator<<(std::ostream& out, const OpeningT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpeningT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->mark);
+          this->__isset.mark = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->placed_ms_ago);
+          this->__isset.placed_ms_ago = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpeningT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpeningT");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mark", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->mark);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("placed_ms_ago", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->placed_ms_ago);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpeningT &a, OpeningT &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.mark, b.mark);
+  swap(a.placed_ms_ago, b.placed_ms_ago);
+  swap(a.__isset, b.__isset);
+}
+
+OpeningT::OpeningT(const OpeningT& other148) noexcept {
+  id = other148.id;
+  mark = other148.mark;
+  placed_ms_ago = other148.placed_ms_ago;
+  __isset = other148.__isset;
+}
+OpeningT::OpeningT(OpeningT&& other149) noexcept {
+  id = std::move(other149.id);
+  mark = other149.mark;
+  placed_ms_ago = other149.placed_ms_ago;
+  __isset = other149.__isset;
+}
+OpeningT& OpeningT::operator=(const OpeningT& other150) noexcept {
+  id = other150.id;
+  mark = other150.mark;
+  placed_ms_ago = other150.placed_ms_ago;
+  __isset = other150.__isset;
+  return *this;
+}
+OpeningT& OpeningT::operator=(OpeningT&& other151) noexcept {
+  id = std::move(other151.id);
+  mark = other151.mark;
+  placed_ms_ago = other151.placed_ms_ago;
+  __isset = other151.__isset;
+  return *this;
+}
+void OpeningT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpeningT(";
+  out << "id=" << to_string(id);
+  out << ", " << "mark=" << to_string(mark);
+  out << ", " << "placed_ms_ago=" << to_string(placed_ms_ago);
+  out << ")";
+}
+
+
+OpeningNoticeT::~OpeningNoticeT() noexcept {
+}
+
+
+void OpeningNoticeT::__set_openings(const std::vector<OpeningT> & val) {
+  this->openings = val;
+}
+std::ostream& operator<<(std::ostream& out, const OpeningNoticeT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpeningNoticeT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->openings.clear();
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->openings.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
+            {
+              xfer += this->openings[_i156].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.openings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpeningNoticeT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpeningNoticeT");
+
+  xfer += oprot->writeFieldBegin("openings", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->openings.size()));
+    std::vector<OpeningT> ::const_iterator _iter157;
+    for (_iter157 = this->openings.begin(); _iter157 != this->openings.end(); ++_iter157)
+    {
+      xfer += (*_iter157).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpeningNoticeT &a, OpeningNoticeT &b) {
+  using ::std::swap;
+  swap(a.openings, b.openings);
+  swap(a.__isset, b.__isset);
+}
+
+OpeningNoticeT::OpeningNoticeT(const OpeningNoticeT& other158) {
+  openings = other158.openings;
+  __isset = other158.__isset;
+}
+OpeningNoticeT::OpeningNoticeT(OpeningNoticeT&& other159) noexcept {
+  openings = std::move(other159.openings);
+  __isset = other159.__isset;
+}
+OpeningNoticeT& OpeningNoticeT::operator=(const OpeningNoticeT& other160) {
+  openings = other160.openings;
+  __isset = other160.__isset;
+  return *this;
+}
+OpeningNoticeT& OpeningNoticeT::operator=(OpeningNoticeT&& other161) noexcept {
+  openings = std::move(other161.openings);
+  __isset = other161.__isset;
+  return *this;
+}
+void OpeningNoticeT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpeningNoticeT(";
+  out << "openings=" << to_string(openings);
+  out << ")";
+}
+
+
+OpeningQueryT::~OpeningQueryT() noexcept {
+}
+
+
+void OpeningQueryT::__set_id(const OpeningIdT& val) {
+  this->id = val;
+}
+
+void OpeningQueryT::__set_requester(const FleetVmT& val) {
+  this->requester = val;
+}
+
+void OpeningQueryT::__set_forwarded(const bool val) {
+  this->forwarded = val;
+__isset.forwarded = true;
+}
+std::ostream& operator<<(std::ostream& out, const OpeningQueryT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpeningQueryT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->requester.read(iprot);
+          this->__isset.requester = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->forwarded);
+          this->__isset.forwarded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpeningQueryT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpeningQueryT");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requester", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->requester.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.forwarded) {
+    xfer += oprot->writeFieldBegin("forwarded", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->forwarded);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpeningQueryT &a, OpeningQueryT &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.requester, b.requester);
+  swap(a.forwarded, b.forwarded);
+  swap(a.__isset, b.__isset);
+}
+
+OpeningQueryT::OpeningQueryT(const OpeningQueryT& other162) {
+  id = other162.id;
+  requester = other162.requester;
+  forwarded = other162.forwarded;
+  __isset = other162.__isset;
+}
+OpeningQueryT::OpeningQueryT(OpeningQueryT&& other163) noexcept {
+  id = std::move(other163.id);
+  requester = std::move(other163.requester);
+  forwarded = other163.forwarded;
+  __isset = other163.__isset;
+}
+OpeningQueryT& OpeningQueryT::operator=(const OpeningQueryT& other164) {
+  id = other164.id;
+  requester = other164.requester;
+  forwarded = other164.forwarded;
+  __isset = other164.__isset;
+  return *this;
+}
+OpeningQueryT& OpeningQueryT::operator=(OpeningQueryT&& other165) noexcept {
+  id = std::move(other165.id);
+  requester = std::move(other165.requester);
+  forwarded = other165.forwarded;
+  __isset = other165.__isset;
+  return *this;
+}
+void OpeningQueryT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpeningQueryT(";
+  out << "id=" << to_string(id);
+  out << ", " << "requester=" << to_string(requester);
+  out << ", " << "forwarded="; (__isset.forwarded ? (out << to_string(forwarded)) : (out << "<null>"));
+  out << ")";
+}
+
+
+OpeningReplyT::~OpeningReplyT() noexcept {
+}
+
+
+void OpeningReplyT::__set_id(const OpeningIdT& val) {
+  this->id = val;
+}
+
+void OpeningReplyT::__set_opening(const OpeningT& val) {
+  this->opening = val;
+__isset.opening = true;
+}
+
+void OpeningReplyT::__set_sender(const FleetVmT& val) {
+  this->sender = val;
+}
+
+void OpeningReplyT::__set_forwarded(const bool val) {
+  this->forwarded = val;
+__isset.forwarded = true;
+}
+std::ostream& operator<<(std::ostream& out, const OpeningReplyT& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpeningReplyT::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->opening.read(iprot);
+          this->__isset.opening = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->forwarded);
+          this->__isset.forwarded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpeningReplyT::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpeningReplyT");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.opening) {
+    xfer += oprot->writeFieldBegin("opening", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->opening.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.forwarded) {
+    xfer += oprot->writeFieldBegin("forwarded", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->forwarded);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpeningReplyT &a, OpeningReplyT &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.opening, b.opening);
+  swap(a.sender, b.sender);
+  swap(a.forwarded, b.forwarded);
+  swap(a.__isset, b.__isset);
+}
+
+OpeningReplyT::OpeningReplyT(const OpeningReplyT& other166) {
+  id = other166.id;
+  opening = other166.opening;
+  sender = other166.sender;
+  forwarded = other166.forwarded;
+  __isset = other166.__isset;
+}
+OpeningReplyT::OpeningReplyT(OpeningReplyT&& other167) noexcept {
+  id = std::move(other167.id);
+  opening = std::move(other167.opening);
+  sender = std::move(other167.sender);
+  forwarded = other167.forwarded;
+  __isset = other167.__isset;
+}
+OpeningReplyT& OpeningReplyT::operator=(const OpeningReplyT& other168) {
+  id = other168.id;
+  opening = other168.opening;
+  sender = other168.sender;
+  forwarded = other168.forwarded;
+  __isset = other168.__isset;
+  return *this;
+}
+OpeningReplyT& OpeningReplyT::operator=(OpeningReplyT&& other169) noexcept {
+  id = std::move(other169.id);
+  opening = std::move(other169.opening);
+  sender = std::move(other169.sender);
+  forwarded = other169.forwarded;
+  __isset = other169.__isset;
+  return *this;
+}
+void OpeningReplyT::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpeningReplyT(";
+  out << "id=" << to_string(id);
+  out << ", " << "opening="; (__isset.opening ? (out << to_string(opening)) : (out << "<null>"));
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "forwarded="; (__isset.forwarded ? (out << to_string(forwarded)) : (out << "<null>"));
+  out << ")";
+}
+
+
 FleetBodyT::~FleetBodyT() noexcept {
 }
 
@@ -3954,6 +4661,21 @@
   this->answer_notice = val;
 __isset.answer_notice = true;
 }
+
+void FleetBodyT::__set_opening_notice(const OpeningNoticeT& val) {
+  this->opening_notice = val;
+__isset.opening_notice = true;
+}
+
+void FleetBodyT::__set_opening_query(const OpeningQueryT& val) {
+  this->opening_query = val;
+__isset.opening_query = true;
+}
+
+void FleetBodyT::__set_opening_reply(const OpeningReplyT& val) {
+  this->opening_reply = val;
+__isset.opening_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetBodyT& obj)
 {
   obj.printTo(out);
@@ -4046,6 +4768,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->opening_notice.read(iprot);
+          this->__isset.opening_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->opening_query.read(iprot);
+          this->__isset.opening_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->opening_reply.read(iprot);
+          this->__isset.opening_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4103,6 +4849,21 @@
     xfer += this->answer_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.opening_notice) {
+    xfer += oprot->writeFieldBegin("opening_notice", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->opening_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.opening_query) {
+    xfer += oprot->writeFieldBegin("opening_query", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->opening_query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.opening_reply) {
+    xfer += oprot->writeFieldBegin("opening_reply", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->opening_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4118,53 +4879,68 @@
   swap(a.load_notice, b.load_notice);
   swap(a.facts_referral, b.facts_referral);
   swap(a.answer_notice, b.answer_notice);
+  swap(a.opening_notice, b.opening_notice);
+  swap(a.opening_query, b.opening_query);
+  swap(a.opening_reply, b.opening_reply);
   swap(a.__isset, b.__isset);
 }
 
-FleetBodyT::FleetBodyT(const FleetBodyT& other144) {
-  gossip = other144.gossip;
-  facts_notice = other144.facts_notice;
-  facts_request = other144.facts_request;
-  watch_lease = other144.watch_lease;
-  suspicion_notice = other144.suspicion_notice;
-  load_notice = other144.load_notice;
-  facts_referral = other144.facts_referral;
-  answer_notice = other144.answer_notice;
-  __isset = other144.__isset;
-}
-FleetBodyT::FleetBodyT(FleetBodyT&& other145) noexcept {
-  gossip = std::move(other145.gossip);
-  facts_notice = std::move(other145.facts_notice);
-  facts_request = std::move(other145.facts_request);
-  watch_lease = std::move(other145.watch_lease);
-  suspicion_notice = std::move(other145.suspicion_notice);
-  load_notice = std::move(other145.load_notice);
-  facts_referral = std::move(other145.facts_referral);
-  answer_notice = std::move(other145.answer_notice);
-  __isset = other145.__isset;
-}
-FleetBodyT& FleetBodyT::operator=(const FleetBodyT& other146) {
-  gossip = other146.gossip;
-  facts_notice = other146.facts_notice;
-  facts_request = other146.facts_request;
-  watch_lease = other146.watch_lease;
-  suspicion_notice = other146.suspicion_notice;
-  load_notice = other146.load_notice;
-  facts_referral = other146.facts_referral;
-  answer_notice = other146.answer_notice;
-  __isset = other146.__isset;
+FleetBodyT::FleetBodyT(const FleetBodyT& other170) {
+  gossip = other170.gossip;
+  facts_notice = other170.facts_notice;
+  facts_request = other170.facts_request;
+  watch_lease = other170.watch_lease;
+  suspicion_notice = other170.suspicion_notice;
+  load_notice = other170.load_notice;
+  facts_referral = other170.facts_referral;
+  answer_notice = other170.answer_notice;
+  opening_notice = other170.opening_notice;
+  opening_query = other170.opening_query;
+  opening_reply = other170.opening_reply;
+  __isset = other170.__isset;
+}
+FleetBodyT::FleetBodyT(FleetBodyT&& other171) noexcept {
+  gossip = std::move(other171.gossip);
+  facts_notice = std::move(other171.facts_notice);
+  facts_request = std::move(other171.facts_request);
+  watch_lease = std::move(other171.watch_lease);
+  suspicion_notice = std::move(other171.suspicion_notice);
+  load_notice = std::move(other171.load_notice);
+  facts_referral = std::move(other171.facts_referral);
+  answer_notice = std::move(other171.answer_notice);
+  opening_notice = std::move(other171.opening_notice);
+  opening_query = std::move(other171.opening_query);
+  opening_reply = std::move(other171.opening_reply);
+  __isset = other171.__isset;
+}
+FleetBodyT& FleetBodyT::operator=(const FleetBodyT& other172) {
+  gossip = other172.gossip;
+  facts_notice = other172.facts_notice;
+  facts_request = other172.facts_request;
+  watch_lease = other172.watch_lease;
+  suspicion_notice = other172.suspicion_notice;
+  load_notice = other172.load_notice;
+  facts_referral = other172.facts_referral;
+  answer_notice = other172.answer_notice;
+  opening_notice = other172.opening_notice;
+  opening_query = other172.opening_query;
+  opening_reply = other172.opening_reply;
+  __isset = other172.__isset;
   return *this;
 }
-FleetBodyT& FleetBodyT::operator=(FleetBodyT&& other147) noexcept {
-  gossip = std::move(other147.gossip);
-  facts_notice = std::move(other147.facts_notice);
-  facts_request = std::move(other147.facts_request);
-  watch_lease = std::move(other147.watch_lease);
-  suspicion_notice = std::move(other147.suspicion_notice);
-  load_notice = std::move(other147.load_notice);
-  facts_referral = std::move(other147.facts_referral);
-  answer_notice = std::move(other147.answer_notice);
-  __isset = other147.__isset;
+FleetBodyT& FleetBodyT::operator=(FleetBodyT&& other173) noexcept {
+  gossip = std::move(other173.gossip);
+  facts_notice = std::move(other173.facts_notice);
+  facts_request = std::move(other173.facts_request);
+  watch_lease = std::move(other173.watch_lease);
+  suspicion_notice = std::move(other173.suspicion_notice);
+  load_notice = std::move(other173.load_notice);
+  facts_referral = std::move(other173.facts_referral);
+  answer_notice = std::move(other173.answer_notice);
+  opening_notice = std::move(other173.opening_notice);
+  opening_query = std::move(other173.opening_query);
+  opening_reply = std::move(other173.opening_reply);
+  __isset = other173.__isset;
   return *this;
 }
 void FleetBodyT::printTo(std::ostream& out) const {
@@ -4178,6 +4954,9 @@
   out << ", " << "load_notice="; (__isset.load_notice ? (out << to_string(load_notice)) : (out << "<null>"));
   out << ", " << "facts_referral="; (__isset.facts_referral ? (out << to_string(facts_referral)) : (out << "<null>"));
   out << ", " << "answer_notice="; (__isset.answer_notice ? (out << to_string(answer_notice)) : (out << "<null>"));
+  out << ", " << "opening_notice="; (__isset.opening_notice ? (out << to_string(opening_notice)) : (out << "<null>"));
+  out << ", " << "opening_query="; (__isset.opening_query ? (out << to_string(opening_query)) : (out << "<null>"));
+  out << ", " << "opening_reply="; (__isset.opening_reply ? (out << to_string(opening_reply)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4291,30 +5070,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetMessageT::FleetMessageT(const FleetMessageT& other148) {
-  deployment = other148.deployment;
-  sender = other148.sender;
-  body = other148.body;
-  __isset = other148.__isset;
+FleetMessageT::FleetMessageT(const FleetMessageT& other174) {
+  deployment = other174.deployment;
+  sender = other174.sender;
+  body = other174.body;
+  __isset = other174.__isset;
 }
-FleetMessageT::FleetMessageT(FleetMessageT&& other149) noexcept {
-  deployment = other149.deployment;
-  sender = other149.sender;
-  body = std::move(other149.body);
-  __isset = other149.__isset;
+FleetMessageT::FleetMessageT(FleetMessageT&& other175) noexcept {
+  deployment = other175.deployment;
+  sender = other175.sender;
+  body = std::move(other175.body);
+  __isset = other175.__isset;
 }
-FleetMessageT& FleetMessageT::operator=(const FleetMessageT& other150) {
-  deployment = other150.deployment;
-  sender = other150.sender;
-  body = other150.body;
-  __isset = other150.__isset;
+FleetMessageT& FleetMessageT::operator=(const FleetMessageT& other176) {
+  deployment = other176.deployment;
+  sender = other176.sender;
+  body = other176.body;
+  __isset = other176.__isset;
   return *this;
 }
-FleetMessageT& FleetMessageT::operator=(FleetMessageT&& other151) noexcept {
-  deployment = other151.deployment;
-  sender = other151.sender;
-  body = std::move(other151.body);
-  __isset = other151.__isset;
+FleetMessageT& FleetMessageT::operator=(FleetMessageT&& other177) noexcept {
+  deployment = other177.deployment;
+  sender = other177.sender;
+  body = std::move(other177.body);
+  __isset = other177.__isset;
   return *this;
 }
 void FleetMessageT::printTo(std::ostream& out) const {
--- a/drivers/gen/fleet_types.h
+++ b/drivers/gen/fleet_types.h
@@ -63,6 +63,16 @@
 
 class AnswerNoticeT;
 
+class OpeningIdT;
+
+class OpeningT;
+
+class OpeningNoticeT;
+
+class OpeningQueryT;
+
+class OpeningReplyT;
+
 class FleetBodyT;
 
 class FleetMessageT;
@@ -1532,8 +1542,288 @@
 
 std::ostream& operator<<(std::ostream& out, const AnswerNoticeT& obj);
 
+typedef struct _OpeningIdT__isset {
+  _OpeningIdT__isset() : flow(false), syn_sequence(false) {}
+  bool flow :1;
+  bool syn_sequence :1;
+} _OpeningIdT__isset;
+
+class OpeningIdT : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpeningIdT(const OpeningIdT&) noexcept;
+  OpeningIdT(OpeningIdT&&) noexcept;
+  OpeningIdT& operator=(const OpeningIdT&) noexcept;
+  OpeningIdT& operator=(OpeningIdT&&) noexcept;
+  OpeningIdT() noexcept
+             : flow(0),
+               syn_sequence(0) {
+  }
+
+  virtual ~OpeningIdT() noexcept;
+  int64_t flow;
+  int32_t syn_sequence;
+
+  _OpeningIdT__isset __isset;
+
+  void __set_flow(const int64_t val);
+
+  void __set_syn_sequence(const int32_t val);
+
+  bool operator == (const OpeningIdT & rhs) const
+  {
+    if (!(flow == rhs.flow))
+      return false;
+    if (!(syn_sequence == rhs.syn_sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const OpeningIdT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpeningIdT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpeningIdT &a, OpeningIdT &b);
+
+std::ostream& operator<<(std::ostream& out, const OpeningIdT& obj);
+
+typedef struct _OpeningT__isset {
+  _OpeningT__isset() : id(false), mark(false), placed_ms_ago(false) {}
+  bool id :1;
+  bool mark :1;
+  bool placed_ms_ago :1;
+} _OpeningT__isset;
+
+class OpeningT : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpeningT(const OpeningT&) noexcept;
+  OpeningT(OpeningT&&) noexcept;
+  OpeningT& operator=(const OpeningT&) noexcept;
+  OpeningT& operator=(OpeningT&&) noexcept;
+  OpeningT() noexcept
+           : mark(0),
+             placed_ms_ago(0) {
+  }
+
+  virtual ~OpeningT() noexcept;
+  OpeningIdT id;
+  int32_t mark;
+  int64_t placed_ms_ago;
+
+  _OpeningT__isset __isset;
+
+  void __set_id(const OpeningIdT& val);
+
+  void __set_mark(const int32_t val);
+
+  void __set_placed_ms_ago(const int64_t val);
+
+  bool operator == (const OpeningT & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(mark == rhs.mark))
+      return false;
+    if (!(placed_ms_ago == rhs.placed_ms_ago))
+      return false;
+    return true;
+  }
+  bool operator != (const OpeningT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpeningT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpeningT &a, OpeningT &b);
+
+std::ostream& operator<<(std::ostream& out, const OpeningT& obj);
+
+typedef struct _OpeningNoticeT__isset {
+  _OpeningNoticeT__isset() : openings(false) {}
+  bool openings :1;
+} _OpeningNoticeT__isset;
+
+class OpeningNoticeT : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpeningNoticeT(const OpeningNoticeT&);
+  OpeningNoticeT(OpeningNoticeT&&) noexcept;
+  OpeningNoticeT& operator=(const OpeningNoticeT&);
+  OpeningNoticeT& operator=(OpeningNoticeT&&) noexcept;
+  OpeningNoticeT() noexcept {
+  }
+
+  virtual ~OpeningNoticeT() noexcept;
+  std::vector<OpeningT>  openings;
+
+  _OpeningNoticeT__isset __isset;
+
+  void __set_openings(const std::vector<OpeningT> & val);
+
+  bool operator == (const OpeningNoticeT & rhs) const
+  {
+    if (!(openings == rhs.openings))
+      return false;
+    return true;
+  }
+  bool operator != (const OpeningNoticeT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpeningNoticeT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpeningNoticeT &a, OpeningNoticeT &b);
+
+std::ostream& operator<<(std::ostream& out, const OpeningNoticeT& obj);
+
+typedef struct _OpeningQueryT__isset {
+  _OpeningQueryT__isset() : id(false), requester(false), forwarded(false) {}
+  bool id :1;
+  bool requester :1;
+  bool forwarded :1;
+} _OpeningQueryT__isset;
+
+class OpeningQueryT : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpeningQueryT(const OpeningQueryT&);
+  OpeningQueryT(OpeningQueryT&&) noexcept;
+  OpeningQueryT& operator=(const OpeningQueryT&);
+  OpeningQueryT& operator=(OpeningQueryT&&) noexcept;
+  OpeningQueryT() noexcept
+                : forwarded(0) {
+  }
+
+  virtual ~OpeningQueryT() noexcept;
+  OpeningIdT id;
+  FleetVmT requester;
+  bool forwarded;
+
+  _OpeningQueryT__isset __isset;
+
+  void __set_id(const OpeningIdT& val);
+
+  void __set_requester(const FleetVmT& val);
+
+  void __set_forwarded(const bool val);
+
+  bool operator == (const OpeningQueryT & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(requester == rhs.requester))
+      return false;
+    if (__isset.forwarded != rhs.__isset.forwarded)
+      return false;
+    else if (__isset.forwarded && !(forwarded == rhs.forwarded))
+      return false;
+    return true;
+  }
+  bool operator != (const OpeningQueryT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpeningQueryT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpeningQueryT &a, OpeningQueryT &b);
+
+std::ostream& operator<<(std::ostream& out, const OpeningQueryT& obj);
+
+typedef struct _OpeningReplyT__isset {
+  _OpeningReplyT__isset() : id(false), opening(false), sender(false), forwarded(false) {}
+  bool id :1;
+  bool opening :1;
+  bool sender :1;
+  bool forwarded :1;
+} _OpeningReplyT__isset;
+
+class OpeningReplyT : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpeningReplyT(const OpeningReplyT&);
+  OpeningReplyT(OpeningReplyT&&) noexcept;
+  OpeningReplyT& operator=(const OpeningReplyT&);
+  OpeningReplyT& operator=(OpeningReplyT&&) noexcept;
+  OpeningReplyT() noexcept
+                : forwarded(0) {
+  }
+
+  virtual ~OpeningReplyT() noexcept;
+  OpeningIdT id;
+  OpeningT opening;
+  FleetVmT sender;
+  bool forwarded;
+
+  _OpeningReplyT__isset __isset;
+
+  void __set_id(const OpeningIdT& val);
+
+  void __set_opening(const OpeningT& val);
+
+  void __set_sender(const FleetVmT& val);
+
+  void __set_forwarded(const bool val);
+
+  bool operator == (const OpeningReplyT & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.opening != rhs.__isset.opening)
+      return false;
+    else if (__isset.opening && !(opening == rhs.opening))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (__isset.forwarded != rhs.__isset.forwarded)
+      return false;
+    else if (__isset.forwarded && !(forwarded == rhs.forwarded))
+      return false;
+    return true;
+  }
+  bool operator != (const OpeningReplyT &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpeningReplyT & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpeningReplyT &a, OpeningReplyT &b);
+
+std::ostream& operator<<(std::ostream& out, const OpeningReplyT& obj);
+
 typedef struct _FleetBodyT__isset {
-  _FleetBodyT__isset() : gossip(false), facts_notice(false), facts_request(false), watch_lease(false), suspicion_notice(false), load_notice(false), facts_referral(false), answer_notice(false) {}
+  _FleetBodyT__isset() : gossip(false), facts_notice(false), facts_request(false), watch_lease(false), suspicion_notice(false), load_notice(false), facts_referral(false), answer_notice(false), opening_notice(false), opening_query(false), opening_reply(false) {}
   bool gossip :1;
   bool facts_notice :1;
   bool facts_request :1;
@@ -1542,6 +1832,9 @@
   bool load_notice :1;
   bool facts_referral :1;
   bool answer_notice :1;
+  bool opening_notice :1;
+  bool opening_query :1;
+  bool opening_reply :1;
 } _FleetBodyT__isset;
 
 class FleetBodyT : public virtual ::apache::thrift::TBase {
@@ -1563,6 +1856,9 @@
   LoadNoticeT load_notice;
   FactsReferralT facts_referral;
   AnswerNoticeT answer_notice;
+  OpeningNoticeT opening_notice;
+  OpeningQueryT opening_query;
+  OpeningReplyT opening_reply;
 
   _FleetBodyT__isset __isset;
 
@@ -1582,6 +1878,12 @@
 
   void __set_answer_notice(const AnswerNoticeT& val);
 
+  void __set_opening_notice(const OpeningNoticeT& val);
+
+  void __set_opening_query(const OpeningQueryT& val);
+
+  void __set_opening_reply(const OpeningReplyT& val);
+
   bool operator == (const FleetBodyT & rhs) const
   {
     if (__isset.gossip != rhs.__isset.gossip)
@@ -1616,6 +1918,18 @@
       return false;
     else if (__isset.answer_notice && !(answer_notice == rhs.answer_notice))
       return false;
+    if (__isset.opening_notice != rhs.__isset.opening_notice)
+      return false;
+    else if (__isset.opening_notice && !(opening_notice == rhs.opening_notice))
+      return false;
+    if (__isset.opening_query != rhs.__isset.opening_query)
+      return false;
+    else if (__isset.opening_query && !(opening_query == rhs.opening_query))
+      return false;
+    if (__isset.opening_reply != rhs.__isset.opening_reply)
+      return false;
+    else if (__isset.opening_reply && !(opening_reply == rhs.opening_reply))
+      return false;
     return true;
   }
   bool operator != (const FleetBodyT &rhs) const {
--- a/servers/marks/fleet_messenger.cc
+++ b/servers/marks/fleet_messenger.cc
@@ -85,6 +85,19 @@
   Send(out);
 }
 
+void FleetMessenger::SendOpenings(const std::vector<Opening>& openings) {
+  FleetOutbox out;
+  knapweedlift::SendOpenings(state_, openings, Now(), out);
+  Send(out);
+}
+
+size_t FleetMessenger::SendOpeningQuery(const OpeningId& id) {
+  FleetOutbox out;
+  const size_t asked = knapweedlift::SendOpeningQuery(state_, id, Now(), out);
+  Send(out);
+  return asked;
+}
+
 void FleetMessenger::SendWaitingSnapshots() {
   FleetOutbox out;
   state_.snapshots_in_flight = transport_->open_streams();
--- a/servers/marks/fleet_messenger.h
+++ b/servers/marks/fleet_messenger.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/fleet/fleet.h"
+#include "core/fleet/openings.h"
 #include "drivers/peer_transport.h"
 
 namespace knapweedlift {
@@ -44,6 +44,11 @@
   void SendSuspicions(const std::vector<Mark>& marks);
   void SendAnswers(const std::vector<Mark>& marks, TimePoint answered_at);
 
+  // Reports flows that are still opening to their keepers.
+  void SendOpenings(const std::vector<Opening>& openings);
+  // Asks the keepers of an opening other than this VM. Returns their number.
+  size_t SendOpeningQuery(const OpeningId& id);
+
   // Sends snapshots to VMs that wait for them, as far as the limits allow.
   void SendWaitingSnapshots();
 
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -305,6 +305,15 @@
                     to_double(cold_flows.placed.load())});
   gauges.push_back({"knapweedlift_cold_servers_skipped_total", "",
                     to_double(cold_flows.skipped.load())});
+  const HeldCopyCounts& copies = context.copies.counts();
+  for (const auto& [outcome, count] :
+       {std::pair("resolved", copies.resolved),
+        std::pair("unknown", copies.unknown),
+        std::pair("timed_out", copies.timed_out)}) {
+    gauges.push_back({"knapweedlift_held_copies_total",
+                      absl::StrCat("outcome=\"", outcome, "\""),
+                      to_double(count)});
+  }
   for (const auto& [kind, count] : context.suppressed_lines) {
     gauges.push_back({"knapweedlift_log_lines_left_out_total",
                       absl::StrCat("kind=\"", kind, "\""), to_double(count)});
--- a/servers/marks/mark_admin.h
+++ b/servers/marks/mark_admin.h
@@ -7,6 +7,7 @@
 #include "core/placement/load_estimate.h"
 #include "drivers/http.h"
 #include "servers/marks/admission_control.h"
+#include "servers/marks/copy_resolver.h"
 #include "servers/marks/health_monitor.h"
 #include "servers/marks/platform_watcher.h"
 
@@ -21,6 +22,7 @@
   const FleetMessenger& messenger;
   const PlatformWatcher& watcher;
   const HealthMonitor& health;
+  const CopyResolver& copies;
   const MarkForwarder& forwarder;
   const ViewBuildState& memory;
   const AdmissionControl& admission;
--- a/servers/marks/mark_daemon.cc
+++ b/servers/marks/mark_daemon.cc
@@ -61,7 +61,15 @@
       forwarder_({.data = settings.data,
                   .workers = settings.workers,
                   .hash_key = settings.hash_key},
-                 {.codec = codec, .view = view_, .flows = flows_, .log = log_}),
+                 {.codec = codec,
+                  .view = view_,
+                  .flows = flows_,
+                  .log = log_,
+                  .hold_copy =
+                      [this](HeldCopy copy) {
+                        return copies_.Hold(std::move(copy));
+                      }}),
+      copies_(messenger_, flows_, forwarder_),
       health_(reactor_, messenger_, view_, flows_, forwarder_,
               settings.address_reuse, [this](HealthMonitor::Urgency urgency) {
                 urgency == HealthMonitor::Urgency::kImmediate
@@ -90,6 +98,7 @@
                                        .messenger = messenger_,
                                        .watcher = watcher_,
                                        .health = health_,
+                                       .copies = copies_,
                                        .forwarder = forwarder_,
                                        .memory = memory_,
                                        .admission = admission_,
@@ -107,6 +116,7 @@
   fibers.emplace_back([this] { watcher_.Run(); });
   fibers.emplace_back([this] { RunPeriodicTasks(); });
   fibers.emplace_back([this] { RunHealthChecks(); });
+  fibers.emplace_back([this] { copies_.Run(); });
   fibers.emplace_back([&] { messenger_.ReceiveDatagrams(handle_update); });
   fibers.emplace_back([&] { messenger_.ReceiveStreams(handle_update); });
   fibers.emplace_back([this] {
@@ -151,12 +161,14 @@
   }
   watcher_.Stop();
   health_.Stop();
+  copies_.Stop();
   reactor_.Stop();
 }
 
 void MarkDaemon::RunHealthChecks() {
   while (!stopping_) {
     boost::this_fiber::sleep_for(kHealthPeriod);
+    copies_.Tick(Now());
     health_.Tick(Now());
   }
 }
@@ -173,6 +185,9 @@
   }
   health_.HandleSuspicions(update.suspect_marks, Now());
   health_.HandlePeerAnswers(update.answering_marks, update.answered_at, Now());
+  if (update.opening_reply.has_value()) {
+    copies_.HandleReply(*update.opening_reply, Now());
+  }
 }
 
 void MarkDaemon::HandleChangedFacts() {
--- a/servers/marks/mark_daemon.h
+++ b/servers/marks/mark_daemon.h
@@ -15,6 +15,7 @@
 #include "core/registry/fact_source.h"
 #include "drivers/http.h"
 #include "servers/marks/admission_control.h"
+#include "servers/marks/copy_resolver.h"
 #include "servers/marks/health_monitor.h"
 #include "servers/marks/mark_forwarder.h"
 #include "servers/marks/platform_watcher.h"
@@ -144,6 +145,7 @@
   // Log lines dropped because nobody read the output, by event.
   std::map<std::string, uint64_t> dropped_lines_;
   MarkForwarder forwarder_;
+  CopyResolver copies_;
   HealthMonitor health_;
 
   TimePoint view_published_at_;
--- a/servers/marks/mark_forwarder.cc
+++ b/servers/marks/mark_forwarder.cc
@@ -37,14 +37,17 @@
   flow->syn_packet.assign(datagram.begin(), datagram.end());
 }
 
-// Decides and forwards the packets of one worker.
+// Decides and forwards the packets of one worker, or the copies of SYNs that
+// have waited.
 class MarkDatagramHandler : public DatagramHandler {
  public:
+  // `hold_copy` takes unseen copies of SYNs; without it they are placed.
   MarkDatagramHandler(const MarkForwarderSettings& settings,
-                      const MarkForwarderContext& context,
+                      const MarkForwarderContext& context, CopyHolder hold_copy,
                       ColdFlowCounts& cold_flows, MetricsShard& metrics)
       : settings_(settings),
         context_(context),
+        hold_copy_(std::move(hold_copy)),
         cold_flows_(cold_flows),
         metrics_(metrics) {}
 
@@ -64,6 +67,7 @@
       metrics_.Count(ResultCode::kBadMarkedPacket);
       return true;
     }
+    if (HoldUnseenCopy(*packet, datagram)) return true;
     const bool sampled = time_batch_ || ++packets_ % kTimingSampleInterval == 0;
     const int64_t start = sampled ? NowNanoseconds() : 0;
     const MarkDecision decision = DecidePacket(*packet, datagram);
@@ -82,6 +86,25 @@
   }
 
  private:
+  // Two servers would answer the SYN if this VM and another one placed its
+  // copies on their own.
+  bool HoldUnseenCopy(const MarkedPacket& packet,
+                      std::span<const uint8_t> datagram) {
+    if (packet.retransmit_count == 0 || hold_copy_ == nullptr) return false;
+    const OpeningId id{.flow = Fingerprint(packet.key, settings_.hash_key),
+                       .syn_sequence = packet.sequence};
+    {
+      MarkedFlowTable::Shard& shard = context_.flows.ShardOf(id.flow);
+      absl::MutexLock lock(&shard.mutex);
+      if (!IsUnseenCopy(packet, FindMarkedFlow(shard.map, id.flow))) {
+        return false;
+      }
+    }
+    return hold_copy_({.id = id,
+                       .received_at = now_,
+                       .datagram = {datagram.begin(), datagram.end()}});
+  }
+
   MarkDecision DecidePacket(const MarkedPacket& packet,
                             std::span<const uint8_t> datagram) {
     const uint64_t fingerprint = Fingerprint(packet.key, settings_.hash_key);
@@ -120,11 +143,12 @@
     if (packet.syn) StoreSyn(flow, datagram);
     if (decision.reason == ResultCode::kForwardedPlaced) {
       AddPlacedFlow(*server.load);
-      flow->placement = {
-          .reason = decision.reason,
-          .revision = view_->as_of,
-          .facts_age = FactsAge(context_.view.confirmed_at(), now_),
-          .placed_at = now_};
+      RecordPlacement(
+          map, fingerprint, *flow,
+          {.reason = decision.reason,
+           .revision = view_->as_of,
+           .facts_age = FactsAge(context_.view.confirmed_at(), now_),
+           .placed_at = now_});
       RecordFactsAge(server, flow->placement.facts_age);
     }
     if (observation.handshake_completed) LogFlowOpened(*flow, datagram);
@@ -191,6 +215,7 @@
 
   const MarkForwarderSettings& settings_;
   const MarkForwarderContext& context_;
+  CopyHolder hold_copy_;
   ColdFlowCounts& cold_flows_;
   MetricsShard& metrics_;
   MarkViewPtr view_;
@@ -212,6 +237,8 @@
   for (size_t i = 0; i < settings.workers; ++i) {
     metrics_.push_back(std::make_unique<MetricsShard>());
   }
+  released_copies_ = std::make_unique<MarkDatagramHandler>(
+      settings_, context_, nullptr, cold_flows_, *metrics_.front());
 }
 
 absl::Status MarkForwarder::Start() {
@@ -220,7 +247,8 @@
   settings_.data = workers_.endpoint();
   workers_.Start([this](size_t worker) {
     return std::make_unique<MarkDatagramHandler>(
-        settings_, context_, cold_flows_, *metrics_[worker]);
+        settings_, context_, context_.hold_copy, cold_flows_,
+        *metrics_[worker]);
   });
   return absl::OkStatus();
 }
@@ -230,6 +258,22 @@
   workers_.Stop();
 }
 
+void MarkForwarder::ForwardHeldCopy(HeldCopy copy,
+                                    const std::optional<Opening>& opening,
+                                    TimePoint now) {
+  const auto packet = context_.codec.Parse(copy.datagram);
+  if (!packet.has_value()) return;
+  if (opening.has_value()) {
+    MarkedFlowTable::Shard& shard = context_.flows.ShardOf(opening->id.flow);
+    absl::MutexLock lock(&shard.mutex);
+    AdoptOpening(shard.map, *packet, *opening, now);
+  }
+  const auto batch = std::make_unique<SendBatch>();
+  released_copies_->BeginBatch(now);
+  released_copies_->Handle(copy.datagram, *batch);
+  batch->Flush(workers_.socket(0));
+}
+
 void MarkForwarder::MoveOrResetFlows(const MarkView& view, Mark mark,
                                      TimePoint now) {
   for (size_t i = 0; i < context_.flows.shard_count(); ++i) {
@@ -286,7 +330,7 @@
     return;
   }
   const ServerTarget& server = view.servers[decision.server];
-  MoveFlow(map, flow, server.fact.mark, now);
+  MoveFlow(map, fingerprint, flow, server.fact.mark, now);
   flow.placement.reason = reason;
   QueueForward(context_.codec, server, flow.syn_packet, batch);
 }
--- a/servers/marks/mark_forwarder.h
+++ b/servers/marks/mark_forwarder.h
@@ -2,7 +2,10 @@
 #define KNAPWEEDLIFT_SERVERS_MARKS_MARK_FORWARDER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "core/flow/marked_flows.h"
@@ -23,6 +26,20 @@
   auto operator<=>(const MarkForwarderSettings&) const = default;
 };
 
+// A copy of a SYN that another VM may have forwarded, and the time at which it
+// was received.
+struct HeldCopy {
+  OpeningId id;
+  TimePoint received_at;
+  std::vector<uint8_t> datagram;
+
+  auto operator<=>(const HeldCopy&) const = default;
+};
+
+// Takes a copy that waits for the decision of the VM that forwarded its SYN.
+// Returns false if it cannot wait. Called by the workers.
+using CopyHolder = std::function<bool(HeldCopy)>;
+
 // State that the packet path shares with the control plane. The references must
 // outlive the forwarder.
 struct MarkForwarderContext {
@@ -30,6 +47,7 @@
   SharedMarkView& view;
   MarkedFlowTable& flows;
   DecisionLog& log;
+  CopyHolder hold_copy;
 };
 
 // The packet path of the daemon: forwards each packet by its mark, and places
@@ -49,6 +67,11 @@
   // An opening flow that no server can take is reset as well.
   void MoveOrResetFlows(const MarkView& view, Mark mark, TimePoint now);
 
+  // Forwards a copy that has waited: to the server of its SYN if `opening`
+  // tells it, else as a new flow. Called by one thread only.
+  void ForwardHeldCopy(HeldCopy copy, const std::optional<Opening>& opening,
+                       TimePoint now);
+
   TimePoint last_ingress_packet_at() const {
     return workers_.last_ingress_packet_at();
   }
@@ -66,6 +89,8 @@
   MarkForwarderContext context_;
   ColdFlowCounts cold_flows_;
   MetricsShards metrics_;
+  // Decides on copies that have waited.
+  std::unique_ptr<DatagramHandler> released_copies_;
   PacketWorkers workers_;
 };
 
--- a/tests/core/marked_flows_test.cc
+++ b/tests/core/marked_flows_test.cc
@@ -205,3 +205,65 @@
   cr_expect(std::abs(std::exp(waits.at(kServer).log_sum) - 24) < 0.01);
   cr_expect(table.TakeResponseWaits().empty());
 }
+
+// Flows that open at once, which is nearly all, must cause no message.
+Test(marked_flows, only_flows_that_are_still_opening_are_reported) {
+  MarkedFlowMap map = EmptyMap();
+  for (const uint64_t flow : {kFlow, kFlow + 1}) {
+    RecordPacket(map, flow, Syn(), kServer, At(0));
+    RecordPlacement(map, flow, *FindMarkedFlow(map, flow),
+                    {.placed_at = At(0)});
+  }
+  RecordPacket(map, kFlow, Data(1'001, 1, 10), kServer, At(10));
+  const TimePoint due_at = At(0) + kOpeningReportDelay;
+  cr_expect(TakeDueOpenings(map, due_at - Duration(1)).empty());
+  const Opening expected{.id = {.flow = kFlow + 1, .syn_sequence = 1'000},
+                         .mark = kServer,
+                         .placed_at = At(0)};
+  cr_expect(TakeDueOpenings(map, due_at) == std::vector<Opening>({expected}));
+  cr_expect(TakeDueOpenings(map, due_at).empty(), "they are reported once");
+}
+
+Test(marked_flows, moved_opening_is_reported_at_once_with_its_new_server) {
+  MarkedFlowMap map = EmptyMap();
+  RecordPacket(map, kFlow, Syn(), kServer, At(0));
+  RecordPlacement(map, kFlow, *FindMarkedFlow(map, kFlow),
+                  {.placed_at = At(0)});
+  TakeDueOpenings(map, At(50));
+  MoveFlow(map, kFlow, *FindMarkedFlow(map, kFlow), kServer + 1, At(60));
+  const std::vector<Opening> openings = TakeDueOpenings(map, At(60));
+  cr_assert(openings.size() == 1);
+  cr_expect(openings[0].mark == kServer + 1);
+  cr_expect(openings[0].placed_at == At(0));
+}
+
+Test(marked_flows, copy_is_unseen_if_its_syn_went_through_another_vm) {
+  MarkedFlowMap map = EmptyMap();
+  cr_expect(not IsUnseenCopy(Syn(), nullptr), "it is the first copy");
+  cr_expect(IsUnseenCopy(Syn(1), nullptr));
+  cr_expect(not IsUnseenCopy(Data(1'001, 1, 10), nullptr));
+  RecordPacket(map, kFlow, Syn(), kServer, At(0));
+  cr_expect(not IsUnseenCopy(Syn(1), FindMarkedFlow(map, kFlow)));
+  MarkedPacket other_syn = Syn(1);
+  ++other_syn.sequence;
+  cr_expect(IsUnseenCopy(other_syn, FindMarkedFlow(map, kFlow)),
+            "the port was reused");
+}
+
+Test(marked_flows, adopted_opening_is_that_of_the_vm_that_placed_it) {
+  MarkedFlowMap map = EmptyMap();
+  const Opening opening{.id = {.flow = kFlow, .syn_sequence = 1'000},
+                        .mark = kServer,
+                        .placed_at = At(100)};
+  AdoptOpening(map, Syn(1), opening, At(300));
+  const MarkedFlow* flow = FindMarkedFlow(map, kFlow);
+  cr_assert(flow != nullptr);
+  cr_expect(flow->mark == kServer);
+  cr_expect(flow->state == MarkedFlowState::kOpening);
+  cr_expect(flow->placement.placed_at == At(100));
+  Opening late = opening;
+  late.mark = kServer + 1;
+  AdoptOpening(map, Syn(1), late, At(310));
+  cr_expect(FindMarkedFlow(map, kFlow)->mark == kServer,
+            "this VM has forwarded the SYN meanwhile");
+}
--- a/tests/drivers/fleet_codec_test.cc
+++ b/tests/drivers/fleet_codec_test.cc
@@ -54,12 +54,19 @@
   return delta;
 }
 
+Opening ArbitraryOpening() {
+  return {.id = {.flow = *rc::gen::arbitrary<uint64_t>(),
+                 .syn_sequence = *rc::gen::arbitrary<uint32_t>()},
+          .mark = *rc::gen::arbitrary<Mark>(),
+          .placed_at = At(kNow - *rc::gen::inRange<int64_t>(0, 2'000))};
+}
+
 FleetMessage ArbitraryMessage() {
   const FactsVersion facts{.as_of = *rc::gen::inRange<Revision>(0, 99),
                            .last_change = *rc::gen::inRange<Revision>(0, 99),
                            .digest = *rc::gen::arbitrary<FactsDigest>()};
   const auto id = *rc::gen::inRange<VmId>(1, 0xFFFFFFFF);
-  switch (*rc::gen::inRange(0, 8)) {
+  switch (*rc::gen::inRange(0, 11)) {
     case 0: {
       FleetGossip gossip{.reply_wanted = *rc::gen::arbitrary<bool>(),
                          .facts = facts};
@@ -98,6 +105,21 @@
     case 6:
       return AnswerNotice{
           .root = id, .marks = {0xFFFFFFF0, 7}, .answered_at = At(kNow - 30)};
+    case 8:
+      return OpeningNotice{.openings = {ArbitraryOpening()}};
+    case 9:
+      return OpeningQuery{
+          .id = ArbitraryOpening().id,
+          .requester = {.id = id, .control = Address(3), .domain = "a"},
+          .forwarded = *rc::gen::arbitrary<bool>()};
+    case 10: {
+      OpeningReply reply{
+          .id = ArbitraryOpening().id,
+          .sender = {.id = id, .control = Address(3), .domain = "a"},
+          .forwarded = *rc::gen::arbitrary<bool>()};
+      if (*rc::gen::arbitrary<bool>()) reply.opening = ArbitraryOpening();
+      return reply;
+    }
     case 5: {
       FactsReferral referral{
           .sender = {.id = id, .control = Address(4), .domain = "b"},
--- a/tests/fuzz/make_corpus.cc
+++ b/tests/fuzz/make_corpus.cc
@@ -114,6 +114,8 @@
   FactDelta snapshot = delta;
   snapshot.is_snapshot = true;
   const VmAddress vm{.id = 5, .control = Address(5), .domain = "a"};
+  const Opening opening{
+      .id = {.flow = 7, .syn_sequence = 8}, .mark = 2, .placed_at = At(4'800)};
   const std::vector<FleetMessage> messages = {
       FleetGossip{
           .reply_wanted = true,
@@ -127,7 +129,10 @@
       FactsReferral{.sender = vm, .peer = Address(6)},
       WatchLease{.root = 5, .watcher = 5, .watching = true, .facts = version},
       SuspicionNotice{.root = 5, .marks = {1, 2, 3}},
-      AnswerNotice{.root = 5, .marks = {1, 2}, .answered_at = At(4'900)}};
+      AnswerNotice{.root = 5, .marks = {1, 2}, .answered_at = At(4'900)},
+      OpeningNotice{.openings = {opening}},
+      OpeningQuery{.id = opening.id, .requester = vm, .forwarded = true},
+      OpeningReply{.id = opening.id, .sender = vm, .opening = opening}};
   int number = 0;
   for (const FleetMessage& message : messages) {
     Write(directory, absl::StrCat("made-", ++number),
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/fleet/fleet.h"
+#include "core/fleet/openings.h"
 #include "core/fleet/watcher_election.h"
 #include "tests/support/facts.h"
 
@@ -33,6 +34,7 @@
     bool partitioned = false;
     bool calling = false;
     TimePoint call_ends_at;
+    std::vector<OpeningReply> opening_replies;
   };
 
   void AddVm(size_t index, size_t domains) {
@@ -102,6 +104,20 @@
     Send(index, out);
   }
 
+  // Reports an opening that the VM has placed.
+  void ReportOpening(size_t index, const Opening& opening) {
+    FleetOutbox out;
+    SendOpenings(vms_[index].fleet, {opening}, now_, out);
+    Send(index, out);
+  }
+
+  // Lets the VM ask for an opening.
+  void AskForOpening(size_t index, const OpeningId& id) {
+    FleetOutbox out;
+    SendOpeningQuery(vms_[index].fleet, id, now_, out);
+    Send(index, out);
+  }
+
   Vm& vm(size_t index) { return vms_[index]; }
   // Reads the store for the VM, as the daemon does at its start.
   void ReadStore(size_t index) {
@@ -173,8 +189,12 @@
     const bool blocked = remote && (vm.partitioned || sender.partitioned);
     if (!vm.running || blocked) return;
     FleetOutbox out;
-    HandleFleetMessage(vm.fleet, vm.registry, sender.fleet.self.id,
-                       in_flight.envelope.message, now_, out);
+    const FleetMessageResult result =
+        HandleFleetMessage(vm.fleet, vm.registry, sender.fleet.self.id,
+                           in_flight.envelope.message, now_, out);
+    if (result.opening_reply.has_value()) {
+      vm.opening_replies.push_back(*result.opening_reply);
+    }
     Send(to, out);
   }
 
