Let copies of a SYN stay on a server that is only suspected

Cause: a copy of a SYN left the server of the original as soon as that server was suspect, also on another VM's report, after a passed check, or while this VM's own link may have been at fault.

Change: copies leave a server only once it is confirmed down, which is what resets its flows as well.

Test: retransmitted_syn_stays_with_a_server_in_doubt fails before; retransmitted_syn_avoids_a_suspect, about one that is confirmed down, holds.

--- a/core/placement/mark_decision.cc
+++ b/core/placement/mark_decision.cc
@@ -92,10 +92,10 @@
 }
 
 // Returns the server that an earlier copy of the SYN was sent to, unless that
-// server is suspect. Two servers that answer the same SYN would break its flow.
-// If the route no longer leads to the server's service, the copy is placed as a
-// new SYN: a server that has not answered the first one is unlikely to hold the
-// flow.
+// server is confirmed down. Two servers that answer the same SYN would break
+// its flow, and one that is only suspected may have answered. If the route no
+// longer leads to the server's service, the copy is placed as a new SYN: a
+// server that has not answered the first one is unlikely to hold the flow.
 ServerIndex ServerOfOriginalSyn(const MarkView& view, const RouteTarget& route,
                                 const MarkedPacket& packet,
                                 const MarkedFlow* flow, TimePoint now) {
@@ -105,7 +105,8 @@
   const ServerIndex index = FindServerOfFlow(view, flow->mark);
   if (index >= view.servers.size()) return kNoServerIndex;
   const ServerTarget& server = view.servers[index];
-  const bool usable = !server.suspect && LeadsTo(route, server.service_index) &&
+  const bool usable = !server.confirmed_down &&
+                      LeadsTo(route, server.service_index) &&
                       !LeavesEvacuatedServer(server, *flow, now);
   return usable ? index : kNoServerIndex;
 }
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -311,6 +311,18 @@
   cr_expect(NameOf(view, decision.server) == Server(2).name);
 }
 
+// Guards against a second server that answers a SYN because another VM suspects
+// the first one, or because this VM's own link may be at fault (KNOWN-RED 9).
+Test(mark_decision, retransmitted_syn_stays_with_a_server_in_doubt) {
+  const MarkView view = ViewOf({Server(1), Server(2)}, SuspectOf(1, false));
+  cr_assert(view.servers[0].suspect and not view.servers[0].confirmed_down);
+  const MarkedFlow flow{.mark = Server(1).mark, .syn_sequence = 9};
+  const MarkDecision decision =
+      DecideMarkedPacket(view, Syn(1), &flow, 7, At(0));
+  cr_expect(decision.reason == ResultCode::kForwardedKnownOpening);
+  cr_expect(NameOf(view, decision.server) == Server(1).name);
+}
+
 // A copy of a SYN must not go to the former service of a route that has changed
 // since the first one, which a full server may have dropped.
 Test(mark_decision, retransmitted_syn_leaves_the_former_service_of_its_route) {
