--- a/core/fleet/openings.cc
+++ b/core/fleet/openings.cc
@@ -62,18 +62,13 @@
                   TimePoint now, FleetOutbox& out) {
   std::map<VmId, std::vector<Opening>> by_keeper;
   for (const Opening& opening : openings) {
+    KeepOpening(state.openings, opening, now);
     for (const VmId keeper :
          OpeningKeepers(state, opening.id.flow, kOpeningKeepers, now)) {
-      by_keeper[keeper].push_back(opening);
+      if (keeper != state.self.id) by_keeper[keeper].push_back(opening);
     }
   }
   for (const auto& [keeper, kept] : by_keeper) {
-    if (keeper == state.self.id) {
-      for (const Opening& opening : kept) {
-        KeepOpening(state.openings, opening, now);
-      }
-      continue;
-    }
     const Endpoint to = state.members.at(keeper).address.control;
     for (size_t i = 0; i < kept.size(); i += kMaxOpeningsPerNotice) {
       const size_t end = std::min(kept.size(), i + kMaxOpeningsPerNotice);
--- a/core/fleet/openings.h
+++ b/core/fleet/openings.h
@@ -42,7 +42,8 @@
 std::vector<VmId> OpeningKeepers(const FleetState& state, uint64_t flow,
                                  size_t count, TimePoint now);
 
-// Reports openings to their keepers.
+// Reports openings of this VM to their keepers. This VM keeps them as well, as
+// it may be asked.
 void SendOpenings(FleetState& state, const std::vector<Opening>& openings,
                   TimePoint now, FleetOutbox& out);
 
--- a/core/flow/marked_flows.h
+++ b/core/flow/marked_flows.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -119,7 +118,7 @@
   absl::flat_hash_map<Mark, ServerTraffic> servers;
   // Since they were last taken, by server.
   absl::flat_hash_map<Mark, ResponseWaits> waits;
-  // In the order of their times.
+  // In the order of their times, moved flows first.
   std::deque<DueOpening> due_openings;
   size_t capacity = 0;
 };
--- a/servers/marks/mark_forwarder.cc
+++ b/servers/marks/mark_forwarder.cc
@@ -100,9 +100,8 @@
         return false;
       }
     }
-    return hold_copy_({.id = id,
-                       .received_at = now_,
-                       .datagram = {datagram.begin(), datagram.end()}});
+    return hold_copy_(
+        {.id = id, .datagram = {datagram.begin(), datagram.end()}});
   }
 
   MarkDecision DecidePacket(const MarkedPacket& packet,
--- a/servers/marks/mark_forwarder.h
+++ b/servers/marks/mark_forwarder.h
@@ -26,11 +26,9 @@
   auto operator<=>(const MarkForwarderSettings&) const = default;
 };
 
-// A copy of a SYN that another VM may have forwarded, and the time at which it
-// was received.
+// A copy of a SYN that another VM may have forwarded.
 struct HeldCopy {
   OpeningId id;
-  TimePoint received_at;
   std::vector<uint8_t> datagram;
 
   auto operator<=>(const HeldCopy&) const = default;
