--- a/drivers/fleet_codec.cc
+++ b/drivers/fleet_codec.cc
@@ -136,6 +136,14 @@
           .placed_at = now - Duration(Narrow<uint32_t>(wire.placed_ms_ago))};
 }
 
+OpeningNotice FromWire(const gen::OpeningNoticeT& wire, TimePoint now) {
+  OpeningNotice notice;
+  for (const gen::OpeningT& entry : wire.openings) {
+    notice.openings.push_back(FromWire(entry, now));
+  }
+  return notice;
+}
+
 OpeningQuery FromWire(const gen::OpeningQueryT& wire) {
   return {.id = FromWire(wire.id),
           .requester = FromWire(wire.requester),
@@ -150,6 +158,21 @@
   return reply;
 }
 
+WatchLease FromWire(const gen::WatchLeaseT& wire) {
+  return {.root = Narrow<VmId>(wire.root),
+          .watcher = Narrow<VmId>(wire.watcher),
+          .watching = wire.watching,
+          .facts = FromWire(wire.facts)};
+}
+
+SuspicionNotice FromWire(const gen::SuspicionNoticeT& wire) {
+  SuspicionNotice notice{.root = Narrow<VmId>(wire.root)};
+  for (const int32_t mark : wire.marks) {
+    notice.marks.push_back(static_cast<Mark>(mark));
+  }
+  return notice;
+}
+
 AnswerNotice FromWire(const gen::AnswerNoticeT& wire, TimePoint now) {
   AnswerNotice notice{
       .root = Narrow<VmId>(wire.root),
@@ -297,17 +320,10 @@
     return FromWire(body.facts_referral);
   }
   if (body.__isset.watch_lease) {
-    return WatchLease{.root = Narrow<VmId>(body.watch_lease.root),
-                      .watcher = Narrow<VmId>(body.watch_lease.watcher),
-                      .watching = body.watch_lease.watching,
-                      .facts = FromWire(body.watch_lease.facts)};
+    return FromWire(body.watch_lease);
   }
   if (body.__isset.suspicion_notice) {
-    SuspicionNotice notice{.root = Narrow<VmId>(body.suspicion_notice.root)};
-    for (const int32_t mark : body.suspicion_notice.marks) {
-      notice.marks.push_back(static_cast<Mark>(mark));
-    }
-    return notice;
+    return FromWire(body.suspicion_notice);
   }
   if (body.__isset.answer_notice) return FromWire(body.answer_notice, now);
   if (body.__isset.load_notice) {
@@ -325,11 +341,7 @@
     return notice;
   }
   if (body.__isset.opening_notice) {
-    OpeningNotice notice;
-    for (const gen::OpeningT& entry : body.opening_notice.openings) {
-      notice.openings.push_back(FromWire(entry, now));
-    }
-    return notice;
+    return FromWire(body.opening_notice, now);
   }
   if (body.__isset.opening_query) {
     return FromWire(body.opening_query);
--- a/servers/marks/mark_admin.cc
+++ b/servers/marks/mark_admin.cc
@@ -271,6 +271,18 @@
   }
 }
 
+void AddHeldCopyGauges(const HeldCopyCounts& counts,
+                       std::vector<Gauge>& gauges) {
+  for (const auto& [outcome, count] :
+       {std::pair("resolved", counts.resolved),
+        std::pair("unknown", counts.unknown),
+        std::pair("timed_out", counts.timed_out)}) {
+    gauges.push_back({"knapweedlift_held_copies_total",
+                      absl::StrCat("outcome=\"", outcome, "\""),
+                      static_cast<double>(count)});
+  }
+}
+
 HttpResponse PrometheusResponse(const MarkAdminContext& context) {
   const TimePoint now = Now();
   const FleetState& fleet = context.messenger.state();
@@ -305,15 +317,6 @@
                     to_double(cold_flows.placed.load())});
   gauges.push_back({"knapweedlift_cold_servers_skipped_total", "",
                     to_double(cold_flows.skipped.load())});
-  const HeldCopyCounts& copies = context.copies.counts();
-  for (const auto& [outcome, count] :
-       {std::pair("resolved", copies.resolved),
-        std::pair("unknown", copies.unknown),
-        std::pair("timed_out", copies.timed_out)}) {
-    gauges.push_back({"knapweedlift_held_copies_total",
-                      absl::StrCat("outcome=\"", outcome, "\""),
-                      to_double(count)});
-  }
   for (const auto& [kind, count] : context.suppressed_lines) {
     gauges.push_back({"knapweedlift_log_lines_left_out_total",
                       absl::StrCat("kind=\"", kind, "\""), to_double(count)});
@@ -322,6 +325,7 @@
     gauges.push_back({"knapweedlift_log_lines_dropped_total",
                       absl::StrCat("event=\"", event, "\""), to_double(count)});
   }
+  AddHeldCopyGauges(context.copies.counts(), gauges);
   AddServerAndFlowGauges(context, gauges);
   AddAdmissionGauges(context, gauges);
   const auto labels = [&context](ServiceNumber service) {
