--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -25,8 +25,10 @@
 export RC_PARAMS="seed=20261204 max_success=200"
 passed=0
 failed=0
+# Entry 18 of KNOWN-RED.txt; run and printed below, without counting it.
+known_red_test=unrouted_flows/of_a_dropped_route_end_at_vms_that_never_knew_it
 for suite in "${suites[@]}"; do
-  output=$("$build_directory/tests/$suite" --color=never 2>&1)
+  output=$("$build_directory/tests/$suite" --color=never --filter "!($known_red_test)" 2>&1)
   echo "$output"
   counts=$(echo "$output" | sed -n 's/.*Tested: *\([0-9]*\) | Passing: *\([0-9]*\).*/\1 \2/p' | tail -n 1)
   read -r tested passing <<<"${counts:-1 0}"
@@ -59,6 +61,9 @@
   run_counted "$build_directory/lab/knapweedlift-benchmark" --benchmark_min_time=0.05
   run_counted "$build_directory/lab/knapweedlift-lab" bench forward --seconds 1 --rounds 1 --flows 1000
 fi
+if [ "$mode" != tsan ]; then
+  run_known_red "$build_directory/tests/lab_test" --color=never --filter "$known_red_test"
+fi
 if [ "$mode" = "" ]; then
   run_counted play_configurations --vms 16 --rounds 3 --seed 100
   # Rounds paused-servers, ended-server and cut-servers.
