Let a doubtful suspect that may be full be refuted again

Cause: since suspects that pass a check are in doubt, a full server that accepts a connection between two refusals was confirmed down by one further refusal, at once: the 500 ms in which other VMs can report an answer had begun with the first suspicion.

Change: the time for refutations begins anew when the doubt ends by a failed check. Test: doubtful_suspect_that_may_be_full_can_be_refuted_again fails before.

--- a/core/health/server_health.cc
+++ b/core/health/server_health.cc
@@ -126,12 +126,12 @@
   // The server has answered a caller since the check started.
   if (health.state == HealthState::kHealthy) return HealthVerdict::kHealthy;
   ++health.consecutive_failures;
-  health.in_doubt = false;
+  const bool was_in_doubt = std::exchange(health.in_doubt, false);
   health.connection_refused |= outcome == CheckOutcome::kRefused;
   if (health.consecutive_failures < kFailuresToSuspect) {
     return HealthVerdict::kCheckAgain;
   }
-  if (health.state != HealthState::kSuspect) {
+  if (health.state != HealthState::kSuspect || was_in_doubt) {
     health.reset_not_before = server.may_be_full ? now + kRefutationTime : now;
   }
   health.state = HealthState::kSuspect;
--- a/tests/core/server_health_test.cc
+++ b/tests/core/server_health_test.cc
@@ -312,6 +312,18 @@
   }
 }
 
+// Guards against the reset of flows on a full server that accepts a connection
+// between two refusals (KNOWN-RED 7).
+Test(server_health, doubtful_suspect_that_may_be_full_can_be_refuted_again) {
+  HealthTable table = TableWithRefusingSuspect();
+  RecordCheck(table, kServer, CheckOutcome::kPassed, {}, At(1'600));
+  RecordCheck(table, kServer, CheckOutcome::kRefused, {.may_be_full = true},
+              At(2'100));
+  const TimePoint confirmed_at = At(2'100) + kRefutationTime;
+  cr_expect(not IsConfirmedDown(table, kServer, confirmed_at - Duration(1)));
+  cr_expect(IsConfirmedDown(table, kServer, confirmed_at));
+}
+
 // The entry of a server that was cut off may lapse while the server lives.
 Test(server_health, removed_entry_does_not_end_a_suspect_that_never_refused) {
   HealthTable table = TableWithSuspect();
