--- a/drivers/http.cc
+++ b/drivers/http.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
@@ -51,6 +52,9 @@
   http::response<http::string_body> message(
       static_cast<http::status>(response.status), kHttpVersion);
   message.set(http::field::content_type, response.content_type);
+  for (const HttpHeader& header : response.headers) {
+    message.insert(header.name, header.value);
+  }
   message.keep_alive(false);
   message.body() = response.body;
   message.prepare_payload();
@@ -106,10 +110,15 @@
   if (!error) http::read(*stream_, buffer, parser, error);
   if (error || !parser.keep_alive()) Close();
   if (error) return ResponseError(to_, error);
-  return HttpResponse{
+  HttpResponse response{
       .status = parser.get().result_int(),
       .content_type = std::string(parser.get()[http::field::content_type]),
       .body = std::move(parser.get().body())};
+  for (const auto& field : parser.get()) {
+    response.headers.push_back({.name = std::string(field.name_string()),
+                                .value = std::string(field.value())});
+  }
+  return response;
 }
 
 void ServeHttp(Reactor& reactor, const FileDescriptor& listener,
@@ -130,6 +139,17 @@
   while (*open_connections > 0) boost::this_fiber::sleep_for(Duration(1));
 }
 
+std::vector<std::string> HeaderValues(const HttpResponse& response,
+                                      const std::string& name) {
+  std::vector<std::string> values;
+  for (const HttpHeader& header : response.headers) {
+    if (absl::EqualsIgnoreCase(header.name, name)) {
+      values.push_back(header.value);
+    }
+  }
+  return values;
+}
+
 std::string PercentEncode(const std::string& text) {
   constexpr std::string_view kUnescaped = "-._~/";
   std::string encoded;
--- a/drivers/http.h
+++ b/drivers/http.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "drivers/fiber_stream.h"
@@ -20,12 +21,23 @@
   std::string body;
 };
 
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
 struct HttpResponse {
   unsigned status = 200;
   std::string content_type = "application/json";
   std::string body;
+  // Other headers: all that a server sent, or those that a handler adds.
+  std::vector<HttpHeader> headers;
 };
 
+// The values of all headers with a name, which is not case-sensitive.
+std::vector<std::string> HeaderValues(const HttpResponse& response,
+                                      const std::string& name);
+
 // Sends one request over a new connection and suspends the calling fiber until
 // the response arrives. Fails with kPlatformUnreachable if no connection is
 // established before the deadline, and with kPlatformAnswer if the response is
