Let the stand-in of the store return from an older copy

The users' drills let the platform's store go away and come back from a copy that is some seconds old: revisions go back and are given out again, a watch from one that it does not have gets 410, and Store-Era rises by one. The stand-in could do none of this, so that no test of ours could show a fault of it.

FakeStore takes a copy, goes away, returns from the copy and states its era in all responses, or whatever a test wants there. The testbed writes again what was lost, as the operator and the servers do.

--- a/lab/marks/fake_store.cc
+++ b/lab/marks/fake_store.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "drivers/clock.h"
 #include "platform/names.h"
 
@@ -88,6 +89,37 @@
   compacted_revision_ = revision_;
 }
 
+void FakeStore::TakeCopy() {
+  absl::MutexLock lock(&mutex_);
+  copied_items_ = items_;
+  copied_revision_ = revision_;
+}
+
+std::vector<LostWrite> FakeStore::ReturnFromCopy() {
+  absl::MutexLock lock(&mutex_);
+  std::vector<LostWrite> lost;
+  for (const auto& [key, item] : items_) {
+    if (item.revision <= copied_revision_) continue;
+    lost.push_back({.key = key, .value = item.value});
+  }
+  for (const auto& [key, item] : copied_items_) {
+    if (!items_.contains(key)) lost.push_back({.key = key});
+  }
+  items_ = copied_items_;
+  revision_ = copied_revision_;
+  std::erase_if(history_, [this](const Event& event) {
+    return event.revision > revision_;
+  });
+  compacted_revision_ = std::min(compacted_revision_, revision_);
+  ++era_;
+  return lost;
+}
+
+void FakeStore::SetEraHeader(const std::optional<std::string>& value) {
+  absl::MutexLock lock(&mutex_);
+  era_header_ = value;
+}
+
 uint64_t FakeStore::revision() {
   absl::MutexLock lock(&mutex_);
   return revision_;
@@ -103,6 +135,18 @@
 HttpResponse FakeStore::HandleRequest(Listener& listener,
                                       const HttpRequest& request) {
   ++request_count_;
+  HttpResponse response = ServeRequest(listener, request);
+  absl::MutexLock lock(&mutex_);
+  const std::string era = era_header_.value_or(absl::StrCat(era_));
+  if (!era.empty()) {
+    response.headers.push_back({.name = names::kEraHeader, .value = era});
+  }
+  return response;
+}
+
+HttpResponse FakeStore::ServeRequest(Listener& listener,
+                                     const HttpRequest& request) {
+  if (away_) return {.status = kHttpUnavailable};
   switch (listener.mode.load()) {
     case StoreMode::kUnavailable:
       return {.status = kHttpUnavailable};
@@ -131,6 +175,7 @@
   if (later_pages_slow_ && !after.empty()) {
     boost::this_fiber::sleep_for(kSlowResponseDelay);
   }
+  ++page_count_;
   absl::MutexLock lock(&mutex_);
   json page = json::array();
   bool has_more = false;
@@ -153,8 +198,11 @@
       Duration(static_cast<int64_t>(QueryNumber(target, names::kWaitMs)));
   while (true) {
     {
+      if (away_) return {.status = kHttpUnavailable};
       absl::MutexLock lock(&mutex_);
-      if (after < compacted_revision_) return {.status = kHttpGone};
+      if (after < compacted_revision_ || after > revision_) {
+        return {.status = kHttpGone};
+      }
       json events = json::array();
       const bool stalled = watches_stalled_;
       for (const Event& event : history_) {
--- a/lab/marks/fake_store.h
+++ b/lab/marks/fake_store.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,10 +31,19 @@
   kResponseLost,
 };
 
+// The last write of a key that the store has lost; a removal if it has no
+// value.
+struct LostWrite {
+  std::string key;
+  std::optional<std::string> value;
+
+  auto operator<=>(const LostWrite&) const = default;
+};
+
 // A fake of the platform's metadata store: keys with values and revisions,
 // paged range reads, and watches over a bounded history. It has several
-// listeners, so that a test can make it fail for some VMs only. Thread-safe
-// except for AddListener.
+// listeners, so that a test can make it fail for some VMs only. It can go away
+// and return from an older copy. Thread-safe except for AddListener.
 class FakeStore {
  public:
   FakeStore();
@@ -58,8 +68,21 @@
   // 410.
   void CompactHistory();
 
+  // Copies the content for ReturnFromCopy.
+  void TakeCopy();
+  // While away, the store refuses all requests and cuts its watches.
+  void SetAway(bool away) { away_ = away; }
+  // Replaces the content by the copy and begins the next era. Returns what was
+  // written since the copy.
+  std::vector<LostWrite> ReturnFromCopy();
+  // Sends `value` as the header of the era from now on, or no such header if it
+  // is empty; nothing sends the era again.
+  void SetEraHeader(const std::optional<std::string>& value);
+
   // Number of requests received.
   uint64_t request_count() const { return request_count_; }
+  // Number of pages of complete reads that were served.
+  uint64_t page_count() const { return page_count_; }
   uint64_t revision();
 
  private:
@@ -80,6 +103,7 @@
   };
 
   HttpResponse HandleRequest(Listener& listener, const HttpRequest& request);
+  HttpResponse ServeRequest(Listener& listener, const HttpRequest& request);
   HttpResponse HandleRange(const std::string& target);
   HttpResponse HandleWatch(const std::string& target);
   void AppendEvent(Event event);
@@ -90,8 +114,14 @@
   uint64_t revision_ ABSL_GUARDED_BY(mutex_) = 1;
   // Oldest revision from which a watch is possible.
   uint64_t compacted_revision_ ABSL_GUARDED_BY(mutex_) = 1;
+  uint64_t era_ ABSL_GUARDED_BY(mutex_) = 1;
+  std::optional<std::string> era_header_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Item> copied_items_ ABSL_GUARDED_BY(mutex_);
+  uint64_t copied_revision_ ABSL_GUARDED_BY(mutex_) = 1;
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::atomic<uint64_t> request_count_{0};
+  std::atomic<uint64_t> page_count_{0};
+  std::atomic<bool> away_{false};
   std::atomic<bool> watches_stalled_{false};
   std::atomic<bool> later_pages_slow_{false};
   std::atomic<bool> stopping_{false};
--- a/lab/marks/testbed.cc
+++ b/lab/marks/testbed.cc
@@ -127,17 +127,56 @@
 
 void MarksTestbed::PublishServer(const SimServer& server,
                                  const std::string& domain, const char* state) {
-  store_.Put(absl::StrCat(names::kServersPrefix, server.id()),
-             json{{names::kService, server.service()},
-                  {names::kAddress, FormatEndpoint(server.endpoint())},
-                  {names::kZone, domain},
-                  {names::kSlots, 2},
-                  {names::kState, state},
-                  {names::kColdLeftMs, 0},
-                  {names::kVersion, "v1"},
-                  {names::kSequence, 1},
-                  {names::kBorn, kServerStartTimeMs + restarts_[server.id()]}}
-                 .dump());
+  Put(absl::StrCat(names::kServersPrefix, server.id()),
+      json{{names::kService, server.service()},
+           {names::kAddress, FormatEndpoint(server.endpoint())},
+           {names::kZone, domain},
+           {names::kSlots, 2},
+           {names::kState, state},
+           {names::kColdLeftMs, 0},
+           {names::kVersion, "v1"},
+           {names::kSequence, 1},
+           {names::kBorn, kServerStartTimeMs + restarts_[server.id()]}}
+          .dump());
+}
+
+void MarksTestbed::Put(const std::string& key, const std::string& value) {
+  std::erase_if(rewrites_, [&key](const Rewrite& rewrite) {
+    return rewrite.write.key == key;
+  });
+  store_.Put(key, value);
+}
+
+void MarksTestbed::Remove(const std::string& key) {
+  std::erase_if(rewrites_, [&key](const Rewrite& rewrite) {
+    return rewrite.write.key == key;
+  });
+  store_.Remove(key);
+}
+
+void MarksTestbed::ReturnStoreFromCopy(const RewriteTimes& times) {
+  const TimePoint now = Now();
+  for (const LostWrite& write : store_.ReturnFromCopy()) {
+    std::erase_if(rewrites_, [&write](const Rewrite& rewrite) {
+      return rewrite.write.key == write.key;
+    });
+    Duration delay = times.operator_delay;
+    if (write.key.starts_with(names::kServersPrefix)) {
+      const auto random = static_cast<int64_t>(random_());
+      delay = write.value.has_value()
+                  ? Duration(random % times.max_server_delay.count())
+                  : times.expiry;
+    }
+    rewrites_.push_back({.at = now + delay, .write = write});
+  }
+}
+
+void MarksTestbed::RunRewrites(TimePoint now) {
+  const std::vector<Rewrite> rewrites = rewrites_;
+  for (const auto& [at, write] : rewrites) {
+    if (now < at) continue;
+    write.value.has_value() ? Put(write.key, *write.value) : Remove(write.key);
+  }
 }
 
 void MarksTestbed::Drain(const std::string& id) {
@@ -172,7 +211,7 @@
 }
 
 void MarksTestbed::Deregister(const std::string& id) {
-  store_.Remove(absl::StrCat(names::kServersPrefix, id));
+  Remove(absl::StrCat(names::kServersPrefix, id));
 }
 
 void MarksTestbed::SetSynFilter(const SimServer::SynFilter& filter) {
@@ -181,11 +220,11 @@
 }
 
 void MarksTestbed::Evacuate(const std::string& domain) {
-  store_.Put(absl::StrCat(names::kEvacuatePrefix, domain), "{}");
+  Put(absl::StrCat(names::kEvacuatePrefix, domain), "{}");
 }
 
 void MarksTestbed::EndEvacuation(const std::string& domain) {
-  store_.Remove(absl::StrCat(names::kEvacuatePrefix, domain));
+  Remove(absl::StrCat(names::kEvacuatePrefix, domain));
 }
 
 void MarksTestbed::PutConfig(uint64_t version, int extra_routes) {
@@ -199,7 +238,7 @@
         .port = static_cast<uint16_t>(1'000 + i)};
     routes[route] = plan_.services[0].name;
   }
-  store_.Put(names::kConfigKey, FormatConfig(version, routes));
+  Put(names::kConfigKey, FormatConfig(version, routes));
 }
 
 void MarksTestbed::StartClients(int long_flows, double short_flows_per_second) {
@@ -245,6 +284,7 @@
     server->Run(now, server_totals_, executed_requests_);
   }
   for (const auto& clients : clients_) clients->Run(now, router_);
+  RunRewrites(now);
   std::this_thread::sleep_for(kTickInterval);
 }
 
--- a/lab/marks/testbed.h
+++ b/lab/marks/testbed.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +51,18 @@
                              const Endpoint& platform,
                              const std::vector<size_t>& seeds);
 
+// When what the store lost in its return from a copy is written again, counted
+// from the return.
+struct RewriteTimes {
+  Duration operator_delay{200};
+  // Servers write at random times until then.
+  Duration max_server_delay{1'500};
+  // The entries of ended servers expire.
+  Duration expiry{2'400};
+
+  auto operator<=>(const RewriteTimes&) const = default;
+};
+
 // The environment of the VMs: metadata store, routers, backend servers and
 // clients. Servers and clients run in the calling thread, the store and the
 // routers' probes in threads of their own.
@@ -90,6 +103,10 @@
   // `extra_routes` others.
   void PutConfig(uint64_t version, int extra_routes = 0);
 
+  // Lets the store return from its last copy. What it loses is written again,
+  // unless something else is written before.
+  void ReturnStoreFromCopy(const RewriteTimes& times);
+
   // Starts clients in each failure domain: `long_flows` flows for each service
   // and `short_flows_per_second` in all.
   void StartClients(int long_flows, double short_flows_per_second);
@@ -122,7 +139,16 @@
   size_t FlowCount(const std::string& id) const;
 
  private:
+  struct Rewrite {
+    TimePoint at;
+    LostWrite write;
+  };
+
   void Tick();
+  // Writes to the store. An outstanding rewrite of the key is dropped.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  void RunRewrites(TimePoint now);
   void PublishServer(const SimServer& server, const std::string& domain,
                      const char* state);
 
@@ -138,6 +164,8 @@
   ServerTotals server_totals_;
   std::set<std::string> executed_requests_;
   SimServer::SynFilter syn_filter_;
+  std::vector<Rewrite> rewrites_;
+  std::minstd_rand random_;
   uint8_t next_server_ = 1;
 };
 
