--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -71,7 +71,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  const auto news = client.ReadAll(kAllPages, Now());
+  const auto news = client.ReadAll(kAllPages, 0, Now());
   cr_assert(news.ok());
   cr_expect(news->is_snapshot);
   cr_expect(news->as_of == 5,
@@ -100,14 +100,14 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_assert(!client.ReadAll(kAllPages, Now()).ok());
-  const auto update = client.ReadAll(kAllPages, Now());
+  cr_assert(!client.ReadAll(kAllPages, 0, Now()).ok());
+  const auto update = client.ReadAll(kAllPages, 0, Now());
   cr_assert(update.ok());
   cr_expect(update->servers.size() == 2);
   cr_expect(update->as_of == 5);
   cr_expect(store.targets().size() == 3, "no page is read twice");
   // A later read starts anew.
-  cr_assert(client.ReadAll(kAllPages, Now()).ok());
+  cr_assert(client.ReadAll(kAllPages, 0, Now()).ok());
   cr_expect(store.targets().size() == 5);
 }
 
@@ -122,11 +122,11 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  const auto first = client.ReadAll(1, Now());
+  const auto first = client.ReadAll(1, 0, Now());
   cr_assert(first.ok());
   cr_expect(first->is_partial);
   cr_expect(first->servers.empty());
-  const auto complete = client.ReadAll(1, Now());
+  const auto complete = client.ReadAll(1, 0, Now());
   cr_assert(complete.ok());
   cr_expect(!complete->is_partial);
   cr_expect(complete->servers.size() == 1);
@@ -140,8 +140,8 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(!client.ReadAll(kAllPages, Now()).ok());
-  cr_expect(client.ReadAll(kAllPages, Now()).ok());
+  cr_expect(!client.ReadAll(kAllPages, 0, Now()).ok());
+  cr_expect(client.ReadAll(kAllPages, 0, Now()).ok());
 }
 
 Test(store_client, continues_after_a_key_with_special_characters) {
@@ -155,7 +155,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_assert(client.ReadAll(kAllPages, Now()).ok());
+  cr_assert(client.ReadAll(kAllPages, 0, Now()).ok());
   cr_assert(store.targets().size() == 2);
   cr_expect(store.targets()[1].find("after=a%20b%26c%3D%25%C3%A9") !=
             std::string::npos);
@@ -170,7 +170,7 @@
   });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, 0, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformAnswer));
 }
 
@@ -211,7 +211,7 @@
   FakeStore store([](const std::string&) { return HttpResponse{.body = "{"}; });
   Reactor reactor;
   StoreClient client(reactor, store.endpoint());
-  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, 0, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformAnswer));
 }
 
@@ -235,7 +235,7 @@
   }
   Reactor reactor;
   StoreClient client(reactor, unreachable);
-  cr_expect(CodeOf(client.ReadAll(kAllPages, Now()).status()) ==
+  cr_expect(CodeOf(client.ReadAll(kAllPages, 0, Now()).status()) ==
             static_cast<uint16_t>(ResultCode::kPlatformUnreachable));
 }
 
@@ -250,3 +250,37 @@
   cr_expect(not client.WaitForChanges(4, Now(), Now()).ok());
   cr_expect(client.WaitForChanges(4, Now(), Now()).ok());
 }
+
+Test(store_client, a_read_with_pages_of_two_eras_starts_anew) {
+  int pages = 0;
+  FakeStore store([&pages](const std::string& target) {
+    const bool first = target.find("after=") == std::string::npos;
+    return HttpResponse{
+        .body = first ? R"({"items": [{"key": "servers/i-1", "value": "",
+                                       "rev": 1}],
+                            "hasMore": true, "asOf": 5})"
+                      : R"({"items": [], "hasMore": false, "asOf": 8})",
+        .headers = {{.name = "Store-Era", .value = ++pages == 1 ? "1" : "2"}}};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  cr_expect(HasCode(client.ReadAll(kAllPages, 0, Now()).status(),
+                    ResultCode::kPlatformNewEra));
+  const auto update = client.ReadAll(kAllPages, 0, Now());
+  cr_assert(update.ok());
+  cr_expect(update->as_of == Revision(2, 5));
+  cr_expect(update->servers.size() == 1);
+  cr_expect(update->servers[0].revision == Revision(2, 1));
+}
+
+Test(store_client, a_read_without_the_header_is_of_the_known_era) {
+  FakeStore store([](const std::string&) {
+    return HttpResponse{.body =
+                            R"({"items": [], "hasMore": false, "asOf": 8})"};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  const auto update = client.ReadAll(kAllPages, 6, Now());
+  cr_assert(update.ok());
+  cr_expect(update->as_of == Revision(6, 8));
+}
--- a/tests/platform/store_era_test.cc
+++ b/tests/platform/store_era_test.cc
@@ -19,8 +19,9 @@
 }  // namespace
 
 Test(store_era, is_read_from_its_header) {
-  cr_expect(HeaderOf({"7"}) ==
-            EraHeader{.state = EraHeader::State::kValid, .era = 7});
+  const EraHeader header = HeaderOf({"7"});
+  cr_expect(header.state == EraHeader::State::kValid);
+  cr_expect(header.era == 7);
   cr_expect(HeaderOf({"0"}).state == EraHeader::State::kValid);
   cr_expect(HeaderOf({"7", "7"}).era == 7);
   cr_expect(HeaderOf({}).state == EraHeader::State::kMissing);
@@ -38,3 +39,22 @@
   }
   cr_expect(HeaderOf({"1", "2"}).state == EraHeader::State::kMalformed);
 }
+
+Test(store_era, of_a_response_without_a_valid_header_is_the_known_one) {
+  EraCheck check;
+  cr_expect(CheckEra(check, HeaderOf({}), 4, TimePoint{}) == 4);
+  cr_expect(CheckEra(check, HeaderOf({"x"}), 4, TimePoint{}) == 4);
+  cr_expect(CheckEra(check, HeaderOf({"5"}), 4, TimePoint{}) == 5);
+}
+
+// A response of the store as it was before its return, or a wrong header.
+Test(store_era, that_is_earlier_is_ignored_for_a_while) {
+  EraCheck check;
+  const TimePoint start{Duration(1'000)};
+  const EraHeader earlier = HeaderOf({"3"});
+  cr_expect(not CheckEra(check, earlier, 4, start).has_value());
+  cr_expect(CheckEra(check, HeaderOf({"4"}), 4, start) == 4);
+  const TimePoint again = start + kMaxEarlierEraTime;
+  cr_expect(not CheckEra(check, earlier, 4, again).has_value());
+  cr_expect(CheckEra(check, earlier, 4, again + kMaxEarlierEraTime) == 4);
+}
--- a/tests/servers/marks/platform_watcher_test.cc
+++ b/tests/servers/marks/platform_watcher_test.cc
@@ -18,6 +18,7 @@
   explicit DrainingSource(Duration read_time) : read_time_(read_time) {}
 
   absl::StatusOr<SourceUpdate> ReadAll(size_t /*max_pages*/,
+                                       uint64_t /*known_era*/,
                                        TimePoint /*now*/) override {
     boost::this_fiber::sleep_for(read_time_);
     SourceUpdate update{.as_of = 10,
--- a/tests/servers/marks/view_diff_test.cc
+++ b/tests/servers/marks/view_diff_test.cc
@@ -31,6 +31,7 @@
   MergeDelta(registry, delta, At(0));
   const json fields = DescribeViewChange(&before, ViewOf(registry));
   cr_expect(fields == json({{"revision", 14},
+                            {"era", 0},
                             {"config_version", 1},
                             {"servers_leaving", json::array({Server(1).name})},
                             {"servers_gone", json::array({Server(2).name})},
--- a/tests/support/facts.h
+++ b/tests/support/facts.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/registry/registry.h"
+#include "tests/support/revisions.h"
 
 // Sample facts; tests change single fields of them.
 namespace knapweedlift::testing {
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,12 +67,26 @@
   void ChangeServer() {
     FactDelta delta{.after = store_.as_of, .as_of = store_.as_of + 1};
     ServerFact server = Server(1);
-    server.slots = static_cast<uint32_t>(delta.as_of);
+    server.slots = static_cast<uint32_t>(delta.as_of.number);
     delta.servers.push_back(
         {.name = server.name, .revision = delta.as_of, .server = server});
     MergeDelta(store_, delta, now_);
   }
 
+  // Lets the store return from an older copy, in the next era.
+  void ReturnStoreFrom(const Registry& copy) {
+    const uint64_t era = store_.as_of.era + 1;
+    FactDelta content = DeltaSince(copy, 0);
+    content.as_of.era = era;
+    content.limits->revision.era = era;
+    for (ServerChange& change : content.servers) change.revision.era = era;
+    for (RouteChange& change : content.routes) change.revision.era = era;
+    store_ = {};
+    MergeDelta(store_, content, now_);
+  }
+
+  const Registry& store() const { return store_; }
+
   bool AllUpToDate() const {
     for (const Vm& vm : vms_) {
       if (vm.running && vm.registry.as_of < store_.as_of) return false;
@@ -132,7 +147,7 @@
     Vm& vm = vms_[index];
     const Revision before = vm.registry.as_of;
     FactDelta delta{.after = before, .as_of = revision};
-    const ConfigFact config{.limits = {.version = revision},
+    const ConfigFact config{.limits = {.version = revision.number},
                             .routes = {Route(200, service)}};
     AddConfigChanges(vm.registry, config, revision, delta);
     MergeDelta(vm.registry, delta, now_);
@@ -144,6 +159,10 @@
   }
 
   TimePoint now() const { return now_; }
+  // Number of complete reads of the store by watchers.
+  size_t snapshots_read() const { return snapshots_read_; }
+  // VMs that would have read the store because they lagged behind.
+  const std::set<VmId>& catch_ups() const { return catch_ups_; }
   // Number of messages with facts.
   size_t facts_sent() const { return facts_sent_; }
   size_t platform_calls() const { return platform_calls_; }
@@ -208,6 +227,9 @@
     Vm& vm = vms_[index];
     FleetOutbox out;
     TickFleet(vm.fleet, vm.registry, now_, out);
+    const bool lags = vm.fleet.lagging_since != TimePoint::max() &&
+                      ShouldCatchUp(vm.fleet, vm.registry, now_);
+    if (lags) catch_ups_.insert(vm.fleet.self.id);
     Watch(vm, out);
     Send(index, out);
   }
@@ -228,8 +250,9 @@
       const Revision before = vm.registry.as_of;
       SetWatching(vm.fleet, vm.registry, ShouldWatch(vm.fleet, now_), now_,
                   out);
-      if (MergeDelta(vm.registry, DeltaSince(store_, before), now_) ==
-          MergeResult::kMerged) {
+      const FactDelta changes = DeltaSince(store_, before);
+      if (MergeDelta(vm.registry, changes, now_) == MergeResult::kMerged) {
+        snapshots_read_ += changes.is_snapshot;
         SendFacts(vm.fleet, vm.registry, before, now_, out);
       }
     } else if (now_ >= vm.call_ends_at) {
@@ -245,6 +268,8 @@
   size_t platform_calls_ = 0;
   size_t messages_sent_ = 0;
   size_t facts_sent_ = 0;
+  size_t snapshots_read_ = 0;
+  std::set<VmId> catch_ups_;
   size_t max_gossip_peers_ = 0;
 };
 
