--- a/tests/lab/marks/store_return_test.cc
+++ b/tests/lab/marks/store_return_test.cc
@@ -60,3 +60,21 @@
       },
       kApplyTime));
 }
+
+// The loss (review case 13): a watch from the old revision succeeded, since
+// that revision had been given out again, and skipped what came before it.
+Test(store_return, changes_at_revisions_that_are_given_out_again_are_not_lost) {
+  Deployment deployment;
+  ReturnWithoutThreeVersions(deployment, {.operator_delay = Duration(0)});
+  deployment.testbed.PutConfig(5, 1);
+  for (int i = 0; i < 10; ++i) {
+    deployment.testbed.RegisterAgain(deployment.servers[0]);
+  }
+  deployment.testbed.store().SetAway(false);
+  cr_expect(deployment.testbed.RunUntil(
+      [&] {
+        return deployment.AllReport("config_version", 5) &&
+               deployment.AllReport("routes", 3);
+      },
+      kApplyTime));
+}
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -251,6 +251,26 @@
   cr_expect(client.WaitForChanges(4, Now(), Now()).ok());
 }
 
+// A watch of an old revision may succeed after the store's return (review case
+// 13).
+Test(store_client, a_watch_that_is_answered_in_another_era_fails) {
+  FakeStore store([](const std::string&) {
+    return HttpResponse{.body = kEmptyWatch,
+                        .headers = {{.name = "Store-Era", .value = "3"}}};
+  });
+  Reactor reactor;
+  StoreClient client(reactor, store.endpoint());
+  const auto update = client.WaitForChanges({3, 4}, Now(), Now());
+  cr_assert(update.ok());
+  cr_expect(update->as_of == Revision(3, 5));
+  for (const Revision after : {Revision(2, 4), Revision(4)}) {
+    cr_expect(HasCode(client.WaitForChanges(after, Now(), Now()).status(),
+                      ResultCode::kPlatformNewEra));
+  }
+  cr_expect(HasCode(client.WaitForChanges({4, 4}, Now(), Now()).status(),
+                    ResultCode::kPlatformEarlierEra));
+}
+
 Test(store_client, a_read_with_pages_of_two_eras_starts_anew) {
   int pages = 0;
   FakeStore store([&pages](const std::string& target) {
