Draw returns of the store among the faults of the soaks

The soaks knew no return of the store from an older copy. The flows' rounds with overloaded servers get none. soak config reports the calls to the store in the ten seconds after each return.

--- a/lab/marks/testbed.cc
+++ b/lab/marks/testbed.cc
@@ -238,7 +238,11 @@
         .port = static_cast<uint16_t>(1'000 + i)};
     routes[route] = plan_.services[0].name;
   }
-  Put(names::kConfigKey, FormatConfig(version, routes));
+  PutConfigText(FormatConfig(version, routes));
+}
+
+void MarksTestbed::PutConfigText(const std::string& text) {
+  Put(names::kConfigKey, text);
 }
 
 void MarksTestbed::StartClients(int long_flows, double short_flows_per_second) {
--- a/lab/marks/testbed.h
+++ b/lab/marks/testbed.h
@@ -103,6 +103,8 @@
   // `extra_routes` others.
   void PutConfig(uint64_t version, int extra_routes = 0);
 
+  // Writes something else in place of the configuration.
+  void PutConfigText(const std::string& text);
   // Lets the store return from its last copy. What it loses is written again,
   // unless something else is written before.
   void ReturnStoreFromCopy(const RewriteTimes& times);
--- a/lab/soak/config_schedule.cc
+++ b/lab/soak/config_schedule.cc
@@ -260,6 +260,36 @@
   SortByTime(schedule.events);
 }
 
+void AddStoreReturns(uint64_t seed, ConfigSchedule& schedule) {
+  constexpr uint64_t kSeedSalt = 0xBB67AE85;
+  std::mt19937_64 random(seed ^ kSeedSalt);
+  const std::vector<size_t> no_seeds;
+  for (size_t i = 0; i < schedule.rounds.size(); ++i) {
+    const RoundBuilder round{
+        .random = random,
+        .seed_vms = no_seeds,
+        .start = static_cast<int64_t>(i) * kSoakRoundLength,
+        .events = schedule.events};
+    if (round.Pick(0, 1) == 0) continue;
+    const Duration copy = round.PickTime(500, 3'500);
+    const Duration lost = copy + round.PickTime(1'000, 3'000);
+    const Duration back = lost + round.PickTime(100, 1'500);
+    round.Add(copy, SoakAction::kTakeCopy);
+    round.Add(lost - round.PickTime(50, 800), SoakAction::kToggleRoute);
+    round.Add(lost, SoakAction::kLoseStore);
+    round.Add(back, SoakAction::kReturnStore);
+    round.Add(back + round.PickTime(0, 600), SoakAction::kFlipRoute);
+    if (round.Pick(0, 2) == 0) {
+      round.Add(back + round.PickTime(-300, 300), SoakAction::kKill, 0);
+    }
+    if (round.Pick(0, 2) != 0) continue;
+    const Duration lost_again = back + round.PickTime(200, 1'000);
+    round.Add(lost_again, SoakAction::kLoseStore);
+    round.Add(lost_again + round.PickTime(100, 600), SoakAction::kReturnStore);
+  }
+  SortByTime(schedule.events);
+}
+
 const char* SoakActionName(SoakAction action) {
   switch (action) {
     case SoakAction::kFlipRoute:
@@ -296,6 +326,12 @@
       return "fast_pages";
     case SoakAction::kSetStoreMode:
       return "set_store_mode";
+    case SoakAction::kTakeCopy:
+      return "take_copy";
+    case SoakAction::kLoseStore:
+      return "lose_store";
+    case SoakAction::kReturnStore:
+      return "return_store";
   }
   return "";
 }
--- a/lab/soak/config_schedule.h
+++ b/lab/soak/config_schedule.h
@@ -41,6 +41,10 @@
   kFastPages,
   // Sets the mode of one of the store's listeners.
   kSetStoreMode,
+  // The store copies its content, goes away, and returns from the copy.
+  kTakeCopy,
+  kLoseStore,
+  kReturnStore,
 };
 
 struct SoakEvent {
@@ -79,6 +83,12 @@
 // continues with old facts.
 void AddEvacuations(uint64_t seed, size_t domains, ConfigSchedule& schedule);
 
+// Adds returns of the store from a copy that is one to three seconds old to
+// about half of the rounds, without a change to the other events of a schedule.
+// Some come twice, and the first VM, which usually watches the store, is killed
+// at some of them.
+void AddStoreReturns(uint64_t seed, ConfigSchedule& schedule);
+
 // Returns the name of an action for records.
 const char* SoakActionName(SoakAction action);
 
--- a/lab/soak/config_soak.cc
+++ b/lab/soak/config_soak.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -16,6 +18,7 @@
 #include "lab/soak/soak_fleet.h"
 #include "lab/soak/soak_report.h"
 #include "lab/soak/soak_setup.h"
+#include "lab/soak/store_returns.h"
 #include "lab/stop_signal.h"
 #include "lab/text_file.h"
 #include "platform/names.h"
@@ -99,6 +102,8 @@
   ConfigSchedule schedule_;
   ConfigHistory history_;
   EvacuationHistory evacuations_;
+  TimePoint store_lost_at_;
+  StoreReturns returns_;
   TimePoint started_at_;
   size_t next_event_ = 0;
   bool flipped_ = false;
@@ -125,6 +130,7 @@
                                    SoakSeedVms(options.vms),
                                    kSoakStoreListeners)) {
   AddEvacuations(seed, plan_.domains.size(), schedule_);
+  AddStoreReturns(seed, schedule_);
 }
 
 bool ConfigSoak::Prepare() {
@@ -172,6 +178,7 @@
   testbed_.Run(Duration(1));
   const TimePoint now = Now();
   fleet_.Run(now);
+  returns_.Run(now, testbed_.store());
   for (const size_t vm : fleet_.TakeRestarted()) prober_.ForgetPending(vm);
   prober_.Run(now);
   ProbeVms(now);
@@ -207,7 +214,7 @@
     case SoakAction::kAddRoute:
       return PutNextConfig(now);
     case SoakAction::kUnreadableConfig:
-      return store.Put(platform::names::kConfigKey, R"({"version":"none"})");
+      return testbed_.PutConfigText(R"({"version":"none"})");
     case SoakAction::kEvacuate:
       return Evacuate(plan_.domains[event.target]);
     case SoakAction::kEndEvacuation:
@@ -245,6 +252,19 @@
         return EndStoreFault(DisturbanceKind::kStoreUnavailable, now);
       }
       return BeginStoreFault(DisturbanceKind::kStoreUnavailable, now);
+    case SoakAction::kTakeCopy:
+      return store.TakeCopy();
+    case SoakAction::kLoseStore:
+      store_lost_at_ = now;
+      return store.SetAway(true);
+    case SoakAction::kReturnStore:
+      testbed_.ReturnStoreFromCopy({});
+      store.SetAway(false);
+      returns_.Add(now, store);
+      return history_.disturbances.push_back(
+          {.kind = DisturbanceKind::kStoreUnavailable,
+           .from = store_lost_at_,
+           .until = now});
   }
 }
 
@@ -279,8 +299,7 @@
   for (size_t i = 0; i < kOwnRouteVersions && i <= index; ++i) {
     version.routes[OwnRoute(index - i)] = kServiceA;
   }
-  testbed_.store().Put(platform::names::kConfigKey,
-                       FormatConfig(version.number, version.routes));
+  testbed_.PutConfigText(FormatConfig(version.number, version.routes));
   version.acknowledged_at = Now();
   history_.versions.push_back(std::move(version));
 }
@@ -328,7 +347,8 @@
 
 json ConfigSoak::DifferingVms() const {
   Reactor reactor;
-  std::map<std::pair<uint64_t, uint64_t>, std::vector<size_t>> groups;
+  std::map<std::tuple<uint64_t, uint64_t, uint64_t>, std::vector<size_t>>
+      groups;
   json differing = json::array();
   const uint64_t newest = history_.versions.back().number;
   for (size_t i = 0; i < plan_.vms.size(); ++i) {
@@ -342,14 +362,17 @@
     if (version != newest) {
       differing.push_back({{"vm", i}, {"config_version", version}});
     }
-    groups[{status.value("revision", uint64_t{0}),
+    groups[{status.value("era", uint64_t{0}),
+            status.value("revision", uint64_t{0}),
             status.value("facts_digest", uint64_t{0})}]
         .push_back(i);
   }
   if (groups.size() > 1) {
     for (const auto& [facts, vms] : groups) {
-      differing.push_back({{"revision", facts.first},
-                           {"facts_digest", facts.second},
+      const auto& [era, revision, digest] = facts;
+      differing.push_back({{"era", era},
+                           {"revision", revision},
+                           {"facts_digest", digest},
                            {"vms", vms}});
     }
   }
@@ -390,6 +413,7 @@
           {"violations", CountViolations(violations)},
           {"listed", DescribeViolations(violations, started_at_)},
           {"evacuations", DescribeEvacuations(evacuations_, started_at_)},
+          {"store_returns", returns_.Describe(started_at_)},
           {"differing_vms", differing},
           {"facts_differ_lines", facts_differ},
           {"sanitizer_reports", sanitizer_reports},
--- a/lab/soak/flow_schedule.cc
+++ b/lab/soak/flow_schedule.cc
@@ -118,16 +118,23 @@
   const char* name;
   void (*add)(const RoundBuilder&);
   bool stops_vms;
+  bool overloads_servers = false;
 };
 
 constexpr std::array<RoundKind, 5> kRoundKinds = {{
     {"cut-servers", AddCutServers, true},
-    {"full-service", AddFullService, false},
-    {"late-accepts", AddLateAccepts, false},
+    {"full-service", AddFullService, false, true},
+    {"late-accepts", AddLateAccepts, false, true},
     {"paused-servers", AddPausedServers, false},
     {"ended-server", AddEndedServer, false},
 }};
 
+void SortByTime(std::vector<FlowEvent>& events) {
+  std::stable_sort(
+      events.begin(), events.end(),
+      [](const FlowEvent& a, const FlowEvent& b) { return a.at < b.at; });
+}
+
 }  // namespace
 
 FlowSchedule MakeFlowSchedule(uint64_t seed, size_t rounds, size_t vms,
@@ -147,12 +154,35 @@
     kind.add(round);
     if (!kind.stops_vms && random() % 2 == 0) AddRollingStop(round);
   }
-  std::stable_sort(
-      schedule.events.begin(), schedule.events.end(),
-      [](const FlowEvent& a, const FlowEvent& b) { return a.at < b.at; });
+  SortByTime(schedule.events);
   return schedule;
 }
 
+void AddFlowStoreReturns(uint64_t seed, FlowSchedule& schedule) {
+  // A generator of its own, so that the other events of a seed stay the same.
+  constexpr uint64_t kSeedSalt = 0x3C6EF372;
+  std::mt19937_64 random(seed ^ kSeedSalt);
+  for (size_t i = 0; i < schedule.rounds.size(); ++i) {
+    const RoundBuilder round{
+        .random = random,
+        .start = static_cast<int64_t>(i) * kFlowRoundLength,
+        .events = schedule.events};
+    const RoundKind& kind = kRoundKinds[(seed + i) % kRoundKinds.size()];
+    if (random() % 2 == 0 || kind.overloads_servers) continue;
+    const Duration copy = round.PickTime(100, 1'200);
+    const Duration lost = copy + round.PickTime(500, 2'000);
+    const Duration back = lost + round.PickTime(100, 800);
+    round.Add(copy, FlowAction::kTakeCopy);
+    round.Add(lost, FlowAction::kLoseStore);
+    round.Add(back, FlowAction::kReturnStore);
+    if (random() % 3 != 0) continue;
+    const Duration lost_again = back + round.PickTime(100, 400);
+    round.Add(lost_again, FlowAction::kLoseStore);
+    round.Add(lost_again + round.PickTime(100, 300), FlowAction::kReturnStore);
+  }
+  SortByTime(schedule.events);
+}
+
 const char* FlowActionName(FlowAction action) {
   switch (action) {
     case FlowAction::kTerminateVm:
@@ -177,6 +207,12 @@
       return "more_callers";
     case FlowAction::kUsualCallers:
       return "usual_callers";
+    case FlowAction::kTakeCopy:
+      return "take_copy";
+    case FlowAction::kLoseStore:
+      return "lose_store";
+    case FlowAction::kReturnStore:
+      return "return_store";
   }
   return "";
 }
--- a/lab/soak/flow_schedule.h
+++ b/lab/soak/flow_schedule.h
@@ -27,6 +27,10 @@
   // Callers open more short flows, and the usual number again.
   kMoreCallers,
   kUsualCallers,
+  // The store copies its content, goes away, and returns from the copy.
+  kTakeCopy,
+  kLoseStore,
+  kReturnStore,
 };
 
 struct FlowEvent {
@@ -64,6 +68,10 @@
 FlowSchedule MakeFlowSchedule(uint64_t seed, size_t rounds, size_t vms,
                               const ServerPlaces& places);
 
+// Adds returns of the store from an older copy to about half of the rounds
+// whose servers are not overloaded, without a change to the other events.
+void AddFlowStoreReturns(uint64_t seed, FlowSchedule& schedule);
+
 // Returns the name of an action for records.
 const char* FlowActionName(FlowAction action);
 
--- a/lab/soak/flow_soak.cc
+++ b/lab/soak/flow_soak.cc
@@ -114,7 +114,9 @@
               .more_settings = kLogSettings},
              SoakSeedVms(options.vms), listeners_),
       schedule_(MakeFlowSchedule(seed, options.rounds, options.vms,
-                                 CountPlaces(plan_))) {}
+                                 CountPlaces(plan_))) {
+  AddFlowStoreReturns(seed, schedule_);
+}
 
 bool FlowSoak::Prepare() {
   const size_t count = CountPlaces(plan_).count;
@@ -206,6 +208,13 @@
       return testbed_.SetShortFlowRate(kManyShortFlowsPerSecond);
     case FlowAction::kUsualCallers:
       return testbed_.SetShortFlowRate(kShortFlowsPerSecond);
+    case FlowAction::kTakeCopy:
+      return testbed_.store().TakeCopy();
+    case FlowAction::kLoseStore:
+      return testbed_.store().SetAway(true);
+    case FlowAction::kReturnStore:
+      testbed_.ReturnStoreFromCopy({});
+      return testbed_.store().SetAway(false);
   }
 }
 
