Notice a return of a store that states no era, and late responses

A store that no longer has a revision which a VM has read from it has returned, as its responses are linearizable; the VM takes the next era and logs store_era_assumed. - A peer may send facts of the new era while a watch still waits for the store as it was. Its answer was ignored, but confirmed the facts. It is an error (platform_earlier_era) now.

The fuzzer of messages receives them with facts of an earlier era, and from a known sender, without which facts were never merged; the fuzzer of responses reads the header.

Tests: platform_watcher/notices_a_return_of_a_store_that_states_no_era and platform_watcher/a_late_response_of_an_earlier_era_confirms_nothing fail without the changes.

--- a/core/registry/fact_source.h
+++ b/core/registry/fact_source.h
@@ -22,8 +22,9 @@
 
 // The content of one response of a source.
 struct SourceUpdate {
-  // Era of all its revisions.
+  // Era of all its revisions, and whether the source has stated it.
   uint64_t era = 0;
+  bool states_era = true;
   // The update covers the changes after `after` up to `as_of`.
   Revision after = 0;
   Revision as_of = 0;
@@ -40,6 +41,9 @@
   auto operator<=>(const SourceUpdate&) const = default;
 };
 
+// Sets the era of all revisions.
+void SetEra(SourceUpdate& update, uint64_t era);
+
 // For reads that are not limited to a number of pages.
 inline constexpr size_t kAllPages = SIZE_MAX;
 
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -39,6 +39,20 @@
   return {{"revision", revision.number}, {"era", revision.era}};
 }
 
+// A store that lacks a revision which it had, and does not state its era, has
+// returned from an older copy all the same.
+void DetectUnstatedEra(Revision watched, SourceUpdate& read) {
+  if (read.states_era || read.is_partial || read.as_of >= watched) return;
+  SetEra(read, watched.era + 1);
+  LogWarning("store_era_assumed",
+             {{"era", read.era},
+              {"revision", read.as_of.number},
+              {"revision_before", watched.number},
+              {"action",
+               "Check the header Store-Era of the platform's store: its "
+               "revisions have gone back without it."}});
+}
+
 void LogUnreadableEntries(const std::vector<std::string>& faults) {
   for (size_t i = 0; i < std::min(faults.size(), kMaxLoggedEntryErrors); ++i) {
     LogWarning("entry_ignored",
@@ -131,8 +145,15 @@
 absl::Status PlatformWatcher::Poll() {
   auto changes = FetchChanges();
   read_is_partial_ = changes.ok() && changes->is_partial;
-  if (changes.ok() && !read_is_partial_) ApplyChanges(*changes);
-  return changes.status();
+  if (!changes.ok() || read_is_partial_) return changes.status();
+  // A peer has sent facts of a later era while the store's response of an
+  // earlier one was on its way. It confirms nothing.
+  if (changes->as_of.era < registry_.as_of.era) {
+    return MakeStatus(ResultCode::kPlatformEarlierEra,
+                      "the store responded as before its return");
+  }
+  ApplyChanges(*changes);
+  return absl::OkStatus();
 }
 
 absl::StatusOr<SourceUpdate> PlatformWatcher::FetchChanges() {
@@ -159,7 +180,9 @@
                              {"era", registry_.as_of.era},
                              {"new_era", is_new_era}});
     ++call_count_;
-    changes = source_.ReadAll(kAllPages, registry_.as_of.era, Now());
+    const Revision watched = registry_.as_of;
+    changes = source_.ReadAll(kAllPages, watched.era, Now());
+    if (changes.ok()) DetectUnstatedEra(watched, *changes);
   }
   if (wait == Duration(0)) {
     call_ms_.Add(static_cast<double>((Now() - now).count()));
--- a/tests/fuzz/make_corpus.cc
+++ b/tests/fuzz/make_corpus.cc
@@ -99,6 +99,16 @@
   }
 }
 
+// Values of the header of the store's era.
+void WriteEras(const std::filesystem::path& directory) {
+  int number = 0;
+  for (const char* value : {"", "0", "6", "4", "-1", "+6", "6.5", "six",
+                            "9223372036854775807", "9223372036854775808"}) {
+    Write(directory, absl::StrCat("made-era-", ++number),
+          absl::StrCat("E", value));
+  }
+}
+
 void WriteFleetMessages(const std::filesystem::path& directory) {
   const FactsVersion version{.as_of = 9, .last_change = 7, .digest = 3};
   FactDelta delta{.after = 3, .as_of = 9, .config_base = 2};
@@ -113,6 +123,25 @@
   delta.limits = {.revision = 4, .limits = {.version = 9}};
   FactDelta snapshot = delta;
   snapshot.is_snapshot = true;
+  // Of the era after that of the receiver's facts.
+  FactDelta next_era = delta;
+  next_era.after = {1, 10};
+  next_era.as_of = {2, 9};
+  next_era.spans = {{.first = {1, 4}, .last = {1, 12}},
+                    {.first = {2, 8}, .last = {2, 9}}};
+  next_era.config_base.reset();
+  next_era.servers[0].revision = {1, 11};
+  next_era.servers[1].revision = {2, 8};
+  next_era.servers[1].applies_at = At(9'000);
+  next_era.limits->revision = {2, 4};
+  next_era.evacuations = {
+      {.domain = "a", .revision = {2, 9}, .applies_at = At(9'000)}};
+  FactDelta next_snapshot = next_era;
+  next_snapshot.is_snapshot = true;
+  next_snapshot.spans.clear();
+  FactsVersion next_version = version;
+  next_version.as_of.era = 2;
+  next_version.past_spans = {{.first = {1, 4}, .last = {1, 12}}};
   const VmAddress vm{.id = 5, .control = Address(5), .domain = "a"};
   const Opening opening{
       .id = {.flow = 7, .syn_sequence = 8}, .mark = 2, .placed_at = At(4'800)};
@@ -125,9 +154,14 @@
           .peers = {{.address = vm, .heartbeat = {.vm = 5, .incarnation = 1}}}},
       FactsNotice{.root = 5, .delta = delta},
       FactsNotice{.delta = snapshot, .confirmed_at = At(4'000)},
+      FactsNotice{.root = 5, .delta = next_era},
+      FactsNotice{.delta = next_snapshot},
       FactsRequest{.after = 4, .requester = vm, .may_wait = true},
+      FactsRequest{.after = {1, 4}, .knows_eras = false},
       FactsReferral{.sender = vm, .peer = Address(6)},
       WatchLease{.root = 5, .watcher = 5, .watching = true, .facts = version},
+      WatchLease{
+          .root = 5, .watcher = 5, .watching = true, .facts = next_version},
       SuspicionNotice{.root = 5, .marks = {1, 2, 3}},
       AnswerNotice{.root = 5, .marks = {1, 2}, .answered_at = At(4'900)},
       OpeningNotice{.openings = {opening}},
@@ -173,6 +207,7 @@
   }
   const std::filesystem::path directory = argv[1];
   WriteStoreResponses(directory / "store_response");
+  WriteEras(directory / "store_response");
   WriteFleetMessages(directory / "fleet");
   WriteSheets(directory / "sheet");
   WriteSettings(directory / "settings");
--- a/tests/fuzz/store_response_fuzz.cc
+++ b/tests/fuzz/store_response_fuzz.cc
@@ -1,14 +1,27 @@
 #include <string>
 
+#include "platform/names.h"
 #include "platform/store_entries.h"
+#include "platform/store_era.h"
 #include "platform/store_response.h"
 #include "tests/fuzz/fiber_stack.h"
 
 namespace knapweedlift {
 namespace {
 
+constexpr uint8_t kEraHeader = 'E';
+
+void ReadEra(const std::string& value) {
+  const platform::EraHeader header = platform::ReadEraHeader(
+      {.headers = {{.name = platform::names::kEraHeader, .value = value}}});
+  platform::EraCheck check;
+  const auto era = platform::CheckEra(check, header, 5, TimePoint{});
+  if (era.has_value() && *era < 5) __builtin_trap();
+}
+
 void ParseAs(uint8_t kind, const std::string& text) {
   const TimePoint now{Duration(1'000)};
+  if (kind == kEraHeader) return ReadEra(text);
   SourceUpdate update;
   std::vector<std::string> errors;
   switch (kind % 4) {
--- a/tests/servers/marks/platform_watcher_test.cc
+++ b/tests/servers/marks/platform_watcher_test.cc
@@ -3,6 +3,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "core/registry/facts_digest.h"
+#include "core/result_code.h"
 #include "drivers/clock.h"
 #include "tests/support/facts.h"
 #include "tests/support/properties.h"
@@ -107,3 +108,99 @@
   cr_expect(registry.routes.at(Route(200).address).fact == Route(200));
   cr_expect(not messenger.state().repair.needed);
 }
+
+namespace {
+
+// Loses its latest changes and states no era.
+class ForgetfulSource : public FactSource {
+ public:
+  absl::StatusOr<SourceUpdate> ReadAll(size_t /*max_pages*/, uint64_t known_era,
+                                       TimePoint /*now*/) override {
+    ++reads_;
+    SourceUpdate update{.states_era = false,
+                        .as_of = 7,
+                        .is_snapshot = true,
+                        .servers = SnapshotOf({Server(2)}).servers};
+    update.config = {
+        .revision = 6,
+        .config = {.limits = {.version = 1}, .routes = {Route(200)}}};
+    SetEra(update, known_era);
+    return update;
+  }
+
+  absl::StatusOr<SourceUpdate> WaitForChanges(Revision after,
+                                              TimePoint /*wait_until*/,
+                                              TimePoint /*now*/) override {
+    if (after.number > 7) {
+      return MakeStatus(ResultCode::kPlatformHistoryGone, "gone");
+    }
+    return SourceUpdate{.era = after.era, .after = after, .as_of = after};
+  }
+
+  size_t reads() const { return reads_; }
+
+ private:
+  size_t reads_ = 0;
+};
+
+// Responds as the store did before its return, while a peer tells of it.
+class LateSource : public FactSource {
+ public:
+  explicit LateSource(Registry& registry) : registry_(registry) {}
+
+  absl::StatusOr<SourceUpdate> ReadAll(size_t /*max_pages*/,
+                                       uint64_t /*known_era*/,
+                                       TimePoint /*now*/) override {
+    return MakeStatus(ResultCode::kPlatformAnswer, "unused");
+  }
+
+  absl::StatusOr<SourceUpdate> WaitForChanges(Revision after,
+                                              TimePoint /*wait_until*/,
+                                              TimePoint now) override {
+    MergeDelta(registry_, SnapshotOf({Server(2)}, {1, 4}), now);
+    return SourceUpdate{.era = after.era, .after = after, .as_of = after};
+  }
+
+ private:
+  Registry& registry_;
+};
+
+}  // namespace
+
+Test(platform_watcher, a_late_response_of_an_earlier_era_confirms_nothing) {
+  Reactor reactor;
+  Registry registry = RegistryOf({Server(1)});
+  LateSource source(registry);
+  FleetMessenger messenger(reactor, registry);
+  cr_assert(
+      messenger
+          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
+          .ok());
+  messenger.state().lagging_since = Now();
+  PlatformWatcher watcher(source, messenger, registry, {}, [] {});
+  watcher.Run();
+  cr_expect(registry.as_of == Revision(1, 4));
+  cr_expect(messenger.state().confirmed_at == TimePoint{});
+  cr_expect(not messenger.state().watching);
+}
+
+// A loop of watches that are gone and of snapshots that count as old would go
+// on until the revisions have passed the old one.
+Test(platform_watcher, notices_a_return_of_a_store_that_states_no_era) {
+  ForgetfulSource source;
+  Reactor reactor;
+  Registry registry = RegistryOf({Server(1)});
+  cr_assert(registry.as_of == 10);
+  FleetMessenger messenger(reactor, registry);
+  cr_assert(
+      messenger
+          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
+          .ok());
+  messenger.state().lagging_since = Now();
+  PlatformWatcher watcher(source, messenger, registry, {}, [] {});
+  watcher.Run();
+  cr_expect(registry.as_of == Revision(1, 7));
+  cr_expect(not registry.servers.at(Server(2).name).removed);
+  watcher.Run();
+  cr_expect(source.reads() == 1);
+}
