Split the registry's sources and the soak's long function

What a registry tells its peers (changes_since.cc) and changes that wait (deferred_changes.cc) have files of their own, and the address in a message is read in messages.cc.

--- a/core/fleet/fleet.h
+++ b/core/fleet/fleet.h
@@ -97,7 +97,8 @@
   TimePoint lagging_since = TimePoint::max();
   // The changes that it lacks are of a later era.
   bool lags_by_era = false;
-  // Earliest time of the next snapshot for VMs that are still in an earlier era.
+  // Earliest time of the next snapshot for VMs that are still in an earlier
+  // era.
   TimePoint next_era_snapshot_at;
   // The last peer that reported having them.
   Endpoint catch_up_peer;
--- a/core/fleet/messages.h
+++ b/core/fleet/messages.h
@@ -178,6 +178,10 @@
                  SuspicionNotice, LoadNotice, FactsReferral, AnswerNotice,
                  OpeningNotice, OpeningQuery, OpeningReply>;
 
+// The address that the sender's message carries, so that unknown VMs become
+// known; null if it carries none.
+const VmAddress* SenderAddress(const FleetMessage& message);
+
 // A message and the endpoints that it is sent to.
 struct FleetEnvelope {
   std::vector<Endpoint> recipients;
--- a/core/placement/mark_view.cc
+++ b/core/placement/mark_view.cc
@@ -113,6 +113,11 @@
                             view.evacuated_domains.end(), domain);
 }
 
+TimePoint EndOfUnreliableListings(const Registry& registry) {
+  if (registry.era_began_at == TimePoint{}) return {};
+  return registry.era_began_at + registry.max_listing_time;
+}
+
 // Views share the route table because routes may be numerous and rarely change.
 void UpdateRoutes(const Registry& registry, ViewBuildState& state) {
   const bool up_to_date = state.routes != nullptr &&
@@ -164,11 +169,8 @@
                        ViewBuildState& state) {
   MarkView view{.as_of = registry.as_of,
                 .limits = registry.limits.limits,
-                .evacuated_domains = EvacuatedDomains(registry)};
-  if (registry.era_began_at != TimePoint{}) {
-    view.listings_unreliable_until =
-        registry.era_began_at + registry.max_listing_time;
-  }
+                .evacuated_domains = EvacuatedDomains(registry),
+                .listings_unreliable_until = EndOfUnreliableListings(registry)};
   view.servers.reserve(registry.servers.size());
   view.by_mark.reserve(registry.servers.size());
   for (const auto& [name, record] : registry.servers) {
--- a/core/placement/mark_view.h
+++ b/core/placement/mark_view.h
@@ -102,9 +102,6 @@
 // Snapshot of a registry for the packet path. Immutable once published.
 struct MarkView {
   Revision as_of = 0;
-  // The store has returned from an older copy, and until then it may list
-  // servers that have ended.
-  TimePoint listings_unreliable_until;
   std::vector<ServerTarget> servers;
   absl::flat_hash_map<Mark, ServerIndex> by_mark;
   // Restarted servers by the marks of their previous incarnations, as far as
@@ -117,6 +114,9 @@
   LimitsFact limits;
   // In ascending order, also those without servers.
   std::vector<std::string> evacuated_domains;
+  // The store has returned from an older copy, and until then it may list
+  // servers that have ended.
+  TimePoint listings_unreliable_until;
   AdmissionGates admission;
   // When the first removal hold expires. The view is out of date from then on.
   TimePoint valid_until = TimePoint::max();
--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -41,6 +41,10 @@
   auto operator<=>(const RevisionSpan&) const = default;
 };
 
+inline bool Includes(const RevisionSpan& span, Revision revision) {
+  return span.first <= revision && revision <= span.last;
+}
+
 // Hash of all facts in force. Two registries with the same revision and
 // different digests show that one of them is wrong.
 using FactsDigest = uint32_t;
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "core/registry/deferred_changes.h"
 #include "core/registry/facts_digest.h"
 #include "core/registry/new_era.h"
 
@@ -18,10 +19,6 @@
 // The same for spans of earlier eras.
 constexpr size_t kMaxPastSpans = 4;
 
-bool Includes(const RevisionSpan& span, Revision revision) {
-  return span.first <= revision && revision <= span.last;
-}
-
 // Changes after an earlier revision are no longer known one by one.
 void RaiseHorizon(Registry& registry, Revision revision) {
   registry.horizon = std::max(registry.horizon, revision);
@@ -64,64 +61,6 @@
                                     .endpoint = previous.endpoint});
 }
 
-// The revision of a record in the present era: a record of an earlier one was
-// in force when the era began.
-Revision RevisionInEra(const Registry& registry, Revision revision) {
-  return revision.era < registry.era_began_with.era ? registry.era_began_with
-                                                    : revision;
-}
-
-// Returns true if the registry has the facts that the change leads to.
-bool IsInForce(const Registry& registry, const ServerChange& change) {
-  const auto found = registry.servers.find(change.name);
-  const bool listed = found != registry.servers.end() && !found->second.removed;
-  if (!change.server.has_value()) return !listed;
-  return listed && IsSameFact(found->second.fact, *change.server);
-}
-
-bool IsInForce(const Registry& registry, const EvacuationChange& change) {
-  const auto found = registry.evacuations.find(change.domain);
-  const bool active =
-      found != registry.evacuations.end() && !found->second.removed;
-  return active == change.active;
-}
-
-bool HaveSameOutcome(const ServerChange& a, const ServerChange& b) {
-  if (!a.server.has_value() || !b.server.has_value()) {
-    return a.server.has_value() == b.server.has_value();
-  }
-  return IsSameFact(*a.server, *b.server);
-}
-
-bool HaveSameOutcome(const EvacuationChange& a, const EvacuationChange& b) {
-  return a.active == b.active;
-}
-
-// Returns true if the change is to wait until it applies, and keeps it. One
-// that leads to the facts in force need not wait. A later change ends the wait
-// of an earlier one, but a snapshot that says the same as the store's copy does
-// not.
-template <typename Change>
-bool Defer(const Registry& registry, std::map<std::string, Change>& deferred,
-           const std::string& key, const Change& change, bool is_snapshot,
-           TimePoint now) {
-  const auto found = deferred.find(key);
-  if (found != deferred.end()) {
-    const bool is_known =
-        change.revision == found->second.revision ||
-        (is_snapshot && HaveSameOutcome(change, found->second));
-    if (is_known) {
-      found->second.revision =
-          std::max(found->second.revision, change.revision);
-      return true;
-    }
-    if (change.revision > found->second.revision) deferred.erase(found);
-  }
-  if (change.applies_at <= now || IsInForce(registry, change)) return false;
-  deferred.try_emplace(key, change);
-  return true;
-}
-
 void SetServer(Registry& registry, ServerRecord& record,
                const ServerChange& change, const FactDelta& delta,
                TimePoint now) {
@@ -138,10 +77,7 @@
 
 void MergeServer(Registry& registry, const ServerChange& change,
                  const FactDelta& delta, TimePoint now) {
-  if (Defer(registry, registry.deferred_servers, change.name, change,
-            delta.is_snapshot, now)) {
-    return;
-  }
+  if (DeferChange(registry, change, delta.is_snapshot, now)) return;
   const auto [found, added] = registry.servers.try_emplace(change.name);
   ServerRecord& record = found->second;
   const Revision known = RevisionInEra(registry, record.revision);
@@ -187,10 +123,7 @@
 
 void MergeEvacuation(Registry& registry, const EvacuationChange& change,
                      const FactDelta& delta, TimePoint now) {
-  if (Defer(registry, registry.deferred_evacuations, change.domain, change,
-            delta.is_snapshot, now)) {
-    return;
-  }
+  if (DeferChange(registry, change, delta.is_snapshot, now)) return;
   const auto [found, added] = registry.evacuations.try_emplace(change.domain);
   const Revision known = RevisionInEra(registry, found->second.revision);
   if (!added && change.revision <= known) return;
@@ -243,20 +176,6 @@
   registry.limits = *delta.limits;
 }
 
-// Returns the revision of the configuration in force at revision `at`; nothing
-// if it is not known.
-std::optional<Revision> ConfigInForceAt(const Registry& registry, Revision at) {
-  if (at >= registry.limits.revision) return registry.limits.revision;
-  const auto& past = registry.past_configs;
-  const auto later = std::find_if(
-      past.begin(), past.end(),
-      [at](const PastConfig& config) { return config.revision > at; });
-  if (later == past.begin()) return {};
-  const PastConfig& config = *std::prev(later);
-  if (at > config.known_until) return {};
-  return config.revision;
-}
-
 Revision LastChange(const FactDelta& delta) {
   Revision last = 0;
   for (const ServerChange& change : delta.servers) {
@@ -272,44 +191,6 @@
   return last;
 }
 
-// What the store says of each key in a snapshot. What a peer has deferred is
-// that, and not the peer's facts in force.
-template <typename Change>
-std::map<std::string, Change> StatementsOf(const std::vector<Change>& changes,
-                                           std::string Change::*key,
-                                           TimePoint now) {
-  std::map<std::string, Change> statements;
-  for (const Change& change : changes) {
-    if (change.applies_at > now) {
-      statements.insert_or_assign(change.*key, change);
-    } else {
-      statements.try_emplace(change.*key, change);
-    }
-  }
-  return statements;
-}
-
-// Drops deferred changes that a snapshot of the same era contradicts: what they
-// say was true of the store's copy only.
-void DropContradictedChanges(Registry& registry, const FactDelta& snapshot,
-                             TimePoint now) {
-  const auto drop = [](auto& deferred, const auto& statements) {
-    std::erase_if(deferred, [&statements](const auto& item) {
-      const auto found = statements.find(item.first);
-      // A key that the snapshot lacks is removed.
-      const auto statement =
-          found == statements.end()
-              ? typename std::decay_t<decltype(item.second)>{}
-              : found->second;
-      return !HaveSameOutcome(item.second, statement);
-    });
-  };
-  drop(registry.deferred_servers,
-       StatementsOf(snapshot.servers, &ServerChange::name, now));
-  drop(registry.deferred_evacuations,
-       StatementsOf(snapshot.evacuations, &EvacuationChange::domain, now));
-}
-
 // Returns true if the delta leads from the facts at `as_of` to later ones.
 bool Continues(const FactDelta& delta, Revision as_of) {
   if (delta.is_snapshot) return true;
@@ -383,17 +264,6 @@
 
 }  // namespace
 
-bool ReplacesConfig(const LimitsChange& change, const LimitsChange& present) {
-  const bool same_era = change.revision.era == present.revision.era;
-  if (same_era || present.revision == 0) {
-    return change.revision > present.revision;
-  }
-  if (change.limits.version != present.limits.version) {
-    return change.limits.version > present.limits.version;
-  }
-  return change.revision > present.revision;
-}
-
 MergeResult MergeDelta(Registry& registry, const FactDelta& delta,
                        TimePoint now) {
   if (delta.as_of <= registry.as_of) return MergeResult::kUnchanged;
@@ -484,108 +354,6 @@
   return true;
 }
 
-bool HasChangesSince(const std::vector<RevisionSpan>& past_spans,
-                     Revision horizon, Revision after) {
-  return after >= horizon || std::any_of(past_spans.begin(), past_spans.end(),
-                                         [after](const RevisionSpan& span) {
-                                           return Includes(span, after);
-                                         });
-}
-
-bool NeedsSnapshot(const Registry& registry, Revision after) {
-  return after == 0 ||
-         !HasChangesSince(registry.past_spans, registry.horizon, after) ||
-         !ConfigInForceAt(registry, after).has_value();
-}
-
-FactDelta DeltaSince(const Registry& registry, Revision after) {
-  FactDelta delta{.after = after,
-                  .as_of = registry.as_of,
-                  .is_snapshot = NeedsSnapshot(registry, after)};
-  const auto is_included = [&](Revision revision) {
-    return delta.is_snapshot || revision > after;
-  };
-  if (!delta.is_snapshot && after.era != registry.as_of.era) {
-    delta.spans = registry.past_spans;
-    delta.spans.push_back({.first = registry.horizon, .last = registry.as_of});
-  }
-  // A snapshot gives records that are older than the era its first revision,
-  // so that they replace what the receiver knows from before.
-  const auto sent_revision = [&](Revision revision, bool is_deferred) {
-    return delta.is_snapshot && !is_deferred ? RevisionInEra(registry, revision)
-                                             : revision;
-  };
-  for (const auto& [name, record] : registry.servers) {
-    if (record.removed) {
-      delta.removals_held_until =
-          std::max(delta.removals_held_until, record.removal_held_until);
-    }
-    if (!is_included(record.revision)) continue;
-    if (delta.is_snapshot && record.removed) continue;
-    delta.servers.push_back(
-        {.name = name,
-         .revision = sent_revision(record.revision,
-                                   registry.deferred_servers.contains(name))});
-    if (!record.removed) delta.servers.back().server = record.fact;
-  }
-  for (const auto& [address, record] : registry.routes) {
-    if (!is_included(record.revision)) continue;
-    if (delta.is_snapshot && record.removed) continue;
-    delta.routes.push_back({.address = address, .revision = record.revision});
-    if (!record.removed) delta.routes.back().route = record.fact;
-  }
-  for (const auto& [domain, record] : registry.evacuations) {
-    if (!is_included(record.revision)) continue;
-    if (delta.is_snapshot && record.removed) continue;
-    const bool is_deferred = registry.deferred_evacuations.contains(domain);
-    delta.evacuations.push_back(
-        {.domain = domain,
-         .revision = sent_revision(record.revision, is_deferred),
-         .active = !record.removed});
-  }
-  // After the facts in force, with which the receiver compares them.
-  for (const auto& [name, change] : registry.deferred_servers) {
-    if (is_included(change.revision)) delta.servers.push_back(change);
-  }
-  for (const auto& [domain, change] : registry.deferred_evacuations) {
-    if (is_included(change.revision)) delta.evacuations.push_back(change);
-  }
-  if (delta.is_snapshot || registry.limits.revision > after) {
-    delta.limits = registry.limits;
-    if (!delta.is_snapshot) {
-      delta.config_base = ConfigInForceAt(registry, after);
-    }
-  }
-  return delta;
-}
-
-void AddConfigChanges(const Registry& registry, const ConfigFact& config,
-                      Revision revision, FactDelta& delta) {
-  const LimitsChange limits{.revision = revision, .limits = config.limits};
-  if (!ReplacesConfig(limits, registry.limits)) return;
-  std::set<Endpoint> configured;
-  for (const RouteFact& route : config.routes) {
-    configured.insert(route.address);
-    const auto found = registry.routes.find(route.address);
-    const bool unchanged = found != registry.routes.end() &&
-                           !found->second.removed &&
-                           found->second.fact == route;
-    if (unchanged && !delta.is_snapshot) continue;
-    delta.routes.push_back(
-        {.address = route.address,
-         .revision = unchanged ? found->second.revision : revision,
-         .route = route});
-  }
-  if (!delta.is_snapshot) {
-    delta.config_base = registry.limits.revision;
-    for (const auto& [address, record] : registry.routes) {
-      if (record.removed || configured.contains(address)) continue;
-      delta.routes.push_back({.address = address, .revision = revision});
-    }
-  }
-  delta.limits = limits;
-}
-
 void PruneTombstones(Registry& registry, TimePoint now) {
   const auto expired = [now](const auto& item) {
     return item.second.removed &&
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -150,6 +150,10 @@
 // force that the copy contradicts.
 bool HasUnsettledFacts(const Registry& registry);
 
+// The revision of a record in the present era: a record of an earlier one was
+// in force when the era began.
+Revision RevisionInEra(const Registry& registry, Revision revision);
+
 // Puts deferred changes that are due into force. Returns true if there are any.
 bool ApplyDeferredChanges(Registry& registry, TimePoint now);
 
--- a/core/registry/removal_hold.h
+++ b/core/registry/removal_hold.h
@@ -10,8 +10,8 @@
 // While the platform's store is down, the entries of running servers expire,
 // and servers register again only some time after the store has recovered.
 // The same holds for entries that the store's copy lacks after its return, see
-// ChangesOfNewEra. Until then a removal is no evidence that a server has stopped: it
-// still gets new flows unless it fails health checks.
+// ChangesOfNewEra. Until then a removal is no evidence that a server has
+// stopped: it still gets new flows unless it fails health checks.
 
 // When entries expire and return around an outage of the store.
 struct EntryTiming {
--- a/lab/soak/config_soak.cc
+++ b/lab/soak/config_soak.cc
@@ -76,6 +76,7 @@
   void RunFor(Duration time);
   void RunEvents();
   void Apply(const SoakEvent& event, TimePoint now);
+  void ReturnStore(TimePoint now);
   void PutNextConfig(TimePoint now);
   void Evacuate(const std::string& domain);
   void ProbeVms(TimePoint now);
@@ -258,16 +259,19 @@
       store_lost_at_ = now;
       return store.SetAway(true);
     case SoakAction::kReturnStore:
-      testbed_.ReturnStoreFromCopy({});
-      store.SetAway(false);
-      returns_.Add(now, store);
-      return history_.disturbances.push_back(
-          {.kind = DisturbanceKind::kStoreUnavailable,
-           .from = store_lost_at_,
-           .until = now});
+      return ReturnStore(now);
   }
 }
 
+void ConfigSoak::ReturnStore(TimePoint now) {
+  testbed_.ReturnStoreFromCopy({});
+  testbed_.store().SetAway(false);
+  returns_.Add(now, testbed_.store());
+  history_.disturbances.push_back({.kind = DisturbanceKind::kStoreUnavailable,
+                                   .from = store_lost_at_,
+                                   .until = now});
+}
+
 void ConfigSoak::BeginStoreFault(DisturbanceKind kind, TimePoint now) {
   EndStoreFault(kind, now);
   history_.disturbances.push_back(
