Give facts no digest from the first revision of a new era on

The changes that lead to a new era may be empty, when the copy's configuration is older than the VM's; the digest of the old era then stayed and was compared with that of a VM that had read the copy at its start.

The digest is computed anew in each new era. new_era/keeps_a_newer_configuration fails without the change.

--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -249,14 +249,14 @@
     registry.past_configs.clear();
     registry.last_change = delta.as_of;
   }
-  if (registry.as_of.era != delta.as_of.era && registry.as_of != 0) {
-    registry.era_began_with = delta.as_of;
-  }
+  const bool is_new_era =
+      registry.as_of != 0 && registry.as_of.era != delta.as_of.era;
+  if (is_new_era) registry.era_began_with = delta.as_of;
   registry.as_of = delta.as_of;
   registry.last_change = std::max(registry.last_change, LastChange(delta));
-  const bool may_differ = delta.is_snapshot || delta.limits.has_value() ||
-                          !delta.servers.empty() || !delta.routes.empty() ||
-                          !delta.evacuations.empty();
+  const bool may_differ = is_new_era || delta.is_snapshot ||
+                          delta.limits.has_value() || !delta.servers.empty() ||
+                          !delta.routes.empty() || !delta.evacuations.empty();
   if (may_differ || registry.digest == kNoDigest) {
     registry.digest = ComputeFactsDigest(registry);
   }
--- a/tests/core/new_era_test.cc
+++ b/tests/core/new_era_test.cc
@@ -110,6 +110,8 @@
   MergeDelta(registry, CopyOf({Server(1)}, 5), kReturn);
   cr_expect(registry.as_of == kFirstOfNewEra);
   cr_expect(registry.limits.limits.version == 8);
+  // A VM that reads the copy at its start has other facts and is right, too.
+  cr_expect(registry.digest == kNoDigest);
   cr_expect(not registry.routes.at(Route(201).address).removed);
   cr_expect(registry.routes.at(Route(200).address).removed);
   // The operator writes all again, from the oldest on.
