Extend holds at a second return, and let repairs wait for unsettled facts

The next return extends the hold. - A VM that was about to repair its facts and got a new era from a peer read the store every 0.5 s until the operator and the servers had written again, as a repair is no remedy until then. It waits now.

Tests: new_era/extends_the_hold_at_the_next_return and new_era/postpones_a_repair fail without the changes.

--- a/core/fleet/catch_up.cc
+++ b/core/fleet/catch_up.cc
@@ -54,6 +54,10 @@
   registry.as_of = version.as_of;
 }
 
+bool NeedsRepair(const FleetState& state, const Registry& registry) {
+  return state.repair.needed && !HasUnsettledFacts(registry);
+}
+
 bool CompareFacts(FleetState& state, const Registry& registry,
                   const FactsVersion& version, TimePoint now) {
   const bool comparable = version.as_of == registry.as_of &&
--- a/core/fleet/catch_up.h
+++ b/core/fleet/catch_up.h
@@ -44,6 +44,10 @@
 bool CompareFacts(FleetState& state, const Registry& registry,
                   const FactsVersion& version, TimePoint now);
 
+// True if this VM is to read the platform's facts anew. Facts that wait for
+// what is written again after the store's return would be lost by it.
+bool NeedsRepair(const FleetState& state, const Registry& registry);
+
 // Records that the facts were read anew, and whether they had been wrong.
 void RecordRepair(FleetState& state, bool changed, TimePoint now);
 
--- a/core/fleet/fleet.cc
+++ b/core/fleet/fleet.cc
@@ -406,7 +406,7 @@
 bool ShouldCatchUp(const FleetState& state, const Registry& registry,
                    TimePoint now) {
   if (registry.as_of == 0) return false;
-  if (state.repair.needed) return true;
+  if (NeedsRepair(state, registry)) return true;
   if (state.lagging_since == TimePoint::max()) return false;
   const bool leaves_it_to_watcher =
       state.lags_by_era && FactsAreFresh(state, now);
--- a/core/registry/new_era.cc
+++ b/core/registry/new_era.cc
@@ -14,14 +14,18 @@
 // decides if the operator does not write.
 constexpr Duration kOperatorRewriteTime{30'000};
 
-// Returns true if `copy` shows the server in a state before that of `record`. A
-// removal that is held says nothing of the server's state.
+// A removal that is held does not show the end of the server. The next return
+// repeats it and extends the hold, as the server may have lost its entry again.
+bool HasEnded(const ServerRecord& record, TimePoint now) {
+  return record.removed && now >= record.removal_held_until;
+}
+
+// Returns true if `copy` shows the server in a state before that of `record`.
 bool IsEarlierState(const ServerFact& copy, const ServerRecord& record,
                     TimePoint now) {
   const ServerFact& known = record.fact;
   if (copy.mark != known.mark) return copy.started_at_ms < known.started_at_ms;
-  const bool has_ended = record.removed && now >= record.removal_held_until;
-  return has_ended || (known.draining && !copy.draining);
+  return HasEnded(record, now) || (known.draining && !copy.draining);
 }
 
 // A peer's snapshot may contain changes that the peer has deferred. They say
@@ -67,7 +71,7 @@
     }
   }
   for (const auto& [name, record] : registry.servers) {
-    if (record.removed || listed.contains(name)) continue;
+    if (HasEnded(record, now) || listed.contains(name)) continue;
     changes.servers.push_back({.name = name, .revision = snapshot.as_of});
   }
   for (const auto& [name, change] : deferred) changes.servers.push_back(change);
--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -163,7 +163,7 @@
     return source_.ReadAll(
         PagesToRead(messenger_.state(), read_is_partial_, now), 0, now);
   }
-  if (messenger_.state().repair.needed) {
+  if (NeedsRepair(messenger_.state(), registry_)) {
     return source_.ReadAll(kAllPages, registry_.as_of.era, now);
   }
   // The first call of a watch returns at once and shows whether the platform
@@ -229,12 +229,10 @@
 
 bool PlatformWatcher::IsRepair(const SourceUpdate& changes) const {
   // An older snapshot repairs nothing, and one without a configuration would
-  // remove all routes. The next read is tried instead. Facts that wait for
-  // what is written again after the store's return would be lost.
-  return messenger_.state().repair.needed && changes.is_snapshot &&
+  // remove all routes. The next read is tried instead.
+  return NeedsRepair(messenger_.state(), registry_) && changes.is_snapshot &&
          changes.config.has_value() && changes.as_of >= registry_.as_of &&
-         changes.as_of.era == registry_.as_of.era &&
-         !HasUnsettledFacts(registry_);
+         changes.as_of.era == registry_.as_of.era;
 }
 
 void PlatformWatcher::LogOlderConfig(const ConfigChange& change) const {
--- a/tests/core/new_era_test.cc
+++ b/tests/core/new_era_test.cc
@@ -222,6 +222,36 @@
   cr_expect(GetsNewFlows(registry, 1, kReturn + Duration(2'500)));
 }
 
+// The server may have lost its entry again before it could write it.
+Test(new_era, extends_the_hold_at_the_next_return) {
+  Registry registry = OldEra({Server(1), Server(2)});
+  MergeDelta(registry, CopyOf({Server(2)}), kReturn);
+  FactDelta second = CopyOf({Server(2)});
+  second.as_of = {3, 11};
+  second.limits->revision = {3, 10};
+  MergeDelta(registry, second, kReturn + Duration(1'000));
+  cr_expect(GetsNewFlows(registry, 1, kReturn + Duration(3'400)));
+  cr_expect(not GetsNewFlows(registry, 1, kReturn + Duration(3'500)));
+  // A server whose hold has ended is gone.
+  FactDelta third = second;
+  third.as_of = {4, 11};
+  third.limits->revision = {4, 10};
+  MergeDelta(registry, third, kReturn + Duration(4'000));
+  cr_expect(not GetsNewFlows(registry, 1, kReturn + Duration(4'000)));
+}
+
+// A read of everything every 0.5 s until the operator writes.
+Test(new_era, postpones_a_repair) {
+  Registry registry = OldEra({Draining(1)});
+  FleetState state;
+  state.repair.needed = true;
+  cr_expect(ShouldCatchUp(state, registry, kReturn));
+  MergeDelta(registry, CopyOf({Server(1)}), kReturn);
+  cr_expect(not ShouldCatchUp(state, registry, kReturn));
+  MergeDelta(registry, ChangeOf(Draining(1)), kReturn);
+  cr_expect(ShouldCatchUp(state, registry, kReturn));
+}
+
 // Server 2 has the address of server 1, which has ended. The copy lists
 // server 1 and lacks server 2.
 Test(new_era, leaves_a_reused_address_to_its_last_server) {
