--- a/core/registry/facts.h
+++ b/core/registry/facts.h
@@ -23,8 +23,8 @@
   uint64_t number = 0;
 
   constexpr Revision() = default;
-  // Of a store that states no era.
-  // NOLINTNEXTLINE(google-explicit-constructor): a number compares as such.
+  // Of a store that states no era. Implicit, since 0 stands for no revision.
+  // NOLINTNEXTLINE(google-explicit-constructor)
   constexpr Revision(uint64_t number) : number(number) {}
   constexpr Revision(uint64_t era, uint64_t number)
       : era(era), number(number) {}
--- a/drivers/http.h
+++ b/drivers/http.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLIFT_DRIVERS_HTTP_H_
 #define KNAPWEEDLIFT_DRIVERS_HTTP_H_
 
+#include <compare>
 #include <functional>
 #include <optional>
 #include <string>
@@ -24,6 +25,8 @@
 struct HttpHeader {
   std::string name;
   std::string value;
+
+  auto operator<=>(const HttpHeader&) const = default;
 };
 
 struct HttpResponse {
