--- a/servers/marks/platform_watcher.cc
+++ b/servers/marks/platform_watcher.cc
@@ -49,7 +49,7 @@
               {"revision", read.as_of.number},
               {"revision_before", watched.number},
               {"action",
-               "Check the header Store-Era of the platform's store: its "
+               "Check why the platform's store does not state its era: its "
                "revisions have gone back without it."}});
 }
 
