Test listings after a return, equal revisions and the watcher's repairs

That a listing is no evidence of life for a while was tested by the view's deadline only, and the tie between servers with the first revision of an era not at all. The rule is a function of the view now (IsListedAsAlive), tested with a check that another server may have passed. The tests of the watcher share the opening of their messenger.

--- a/core/placement/mark_view.h
+++ b/core/placement/mark_view.h
@@ -141,6 +141,12 @@
                        const std::string& domain, TimePoint now,
                        ViewBuildState& state);
 
+// True if the store's listing of the server shows that it lives.
+inline bool IsListedAsAlive(const MarkView& view, const ServerTarget& server,
+                            TimePoint now) {
+  return !server.unlisted && now >= view.listings_unreliable_until;
+}
+
 // True if a new flow on the server needs a token of its allowance.
 inline bool IsColdLimited(const ServerTarget& server, TimePoint now) {
   return server.cold_allowance != nullptr && now < server.fact.cold_until;
--- a/servers/marks/health_monitor.cc
+++ b/servers/marks/health_monitor.cc
@@ -237,8 +237,7 @@
   const CheckedServer checked{
       .may_be_draining = !server.replaced &&
                          (!fresh || (server.fact.draining && may_still_serve)),
-      .listed =
-          fresh && !server.unlisted && now >= view->listings_unreliable_until,
+      .listed = fresh && IsListedAsAlive(*view, server, now),
       .may_be_full =
           IsServiceSaturated(*view, index, flows_.Traffic(),
                              1 + CountLivePeers(messenger_.state(), now))};
--- a/tests/core/new_era_test.cc
+++ b/tests/core/new_era_test.cc
@@ -1,6 +1,9 @@
 #include "core/registry/new_era.h"
 
+#include <utility>
+
 #include "core/fleet/catch_up.h"
+#include "core/health/server_health.h"
 #include "core/placement/mark_view.h"
 #include "core/registry/facts_digest.h"
 #include "core/registry/removal_hold.h"
@@ -375,13 +378,43 @@
   cr_expect(NeedsSnapshot(reader, kLastOfOldEra));
 }
 
-// An entry of the copy does not show that its server lives.
+// An entry of the copy does not show that its server lives: a check passed at
+// its address may be passed by another server.
 Test(new_era, makes_listings_unreliable_for_a_while) {
   Registry registry = OldEra({Server(1)});
-  cr_expect(ViewOf(registry, kReturn).listings_unreliable_until == TimePoint{});
+  const Mark mark = Server(1).mark;
+  HealthTable health;
+  RecordPeerSuspicion(health, mark, At(0));
+  while (not IsSuspect(health, mark, At(60'000))) {
+    RecordCheck(health, mark, CheckOutcome::kRefused, {}, At(100));
+  }
+  const auto passes_check = [&](TimePoint now) {
+    const MarkView view = ViewOf(registry, now);
+    const CheckedServer checked{
+        .listed = IsListedAsAlive(view, TargetOf(view, 1), now)};
+    HealthTable table = health;
+    return RecordCheck(table, mark, CheckOutcome::kPassed, checked, now) ==
+           HealthVerdict::kHealthy;
+  };
+  cr_expect(passes_check(kReturn), "listed for longer than an ended server");
   MergeDelta(registry, CopyOf({Server(1)}), kReturn);
-  cr_expect(ViewOf(registry, kReturn).listings_unreliable_until ==
-            kReturn + kListingTime);
+  cr_expect(not passes_check(kReturn));
+  cr_expect(passes_check(kReturn + kListingTime));
+}
+
+// After a return a peer's snapshot gives several records the same revision.
+Test(new_era, leaves_an_address_to_the_server_that_started_last) {
+  ServerFact former = Server(1);
+  former.started_at_ms = 2'000;
+  ServerFact present = Server(2);
+  present.started_at_ms = 3'000;
+  present.endpoint = former.endpoint;
+  for (const bool swapped : {false, true}) {
+    if (swapped) std::swap(former.started_at_ms, present.started_at_ms);
+    const MarkView view = ViewOf(OldEra({former, present}), At(0));
+    cr_expect(TargetOf(view, 1).replaced != swapped);
+    cr_expect(TargetOf(view, 2).replaced == swapped);
+  }
 }
 
 // A malformed message must not move a VM to an era without its facts.
--- a/tests/servers/marks/platform_watcher_test.cc
+++ b/tests/servers/marks/platform_watcher_test.cc
@@ -54,63 +54,6 @@
   size_t change_calls_ = 0;
 };
 
-// Runs the first reads of a VM without seeds and returns its facts.
-Registry ReadFirstFacts(DrainingSource& source) {
-  Reactor reactor;
-  Registry registry;
-  FleetMessenger messenger(reactor, registry);
-  cr_assert(
-      messenger
-          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
-          .ok());
-  PlatformWatcher watcher(source, messenger, registry, {}, [] {});
-  watcher.Run();
-  return registry;
-}
-
-}  // namespace
-
-// The load: many pages over a slow link.
-Test(platform_watcher, a_long_first_read_is_followed_by_the_changes) {
-  DrainingSource source(Duration(300));
-  const Registry registry = ReadFirstFacts(source);
-  cr_expect(source.change_calls() == 1);
-  cr_expect(registry.as_of == 11);
-  cr_expect(registry.servers.at(Server(1).name).fact.draining);
-}
-
-Test(platform_watcher, a_short_first_read_needs_no_further_call) {
-  DrainingSource source(Duration(1));
-  cr_expect(ReadFirstFacts(source).as_of == 10);
-  cr_expect(source.change_calls() == 0);
-}
-
-// The loss: a route of this VM is wrong, and its revision does not show it.
-Test(platform_watcher, a_repair_replaces_facts_of_the_same_revision) {
-  DrainingSource source(Duration(0));
-  source.SetConfig({.limits = {.version = 1}, .routes = {Route(200)}});
-  Reactor reactor;
-  Registry registry = RegistryOf({Server(1)});
-  registry.routes.at(Route(200).address).fact = Route(200, "catalogue");
-  registry.digest = ComputeFactsDigest(registry);
-  FleetMessenger messenger(reactor, registry);
-  cr_assert(
-      messenger
-          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
-          .ok());
-  messenger.state().repair.needed = true;
-  bool changed = false;
-  PlatformWatcher watcher(source, messenger, registry, {},
-                          [&changed] { changed = true; });
-  cr_assert(watcher.ShouldRun(Now()));
-  watcher.Run();
-  cr_expect(changed);
-  cr_expect(registry.routes.at(Route(200).address).fact == Route(200));
-  cr_expect(not messenger.state().repair.needed);
-}
-
-namespace {
-
 // Loses its latest changes and states no era.
 class ForgetfulSource : public FactSource {
  public:
@@ -165,17 +108,69 @@
   Registry& registry_;
 };
 
+// Opens the messenger of a VM without seeds.
+void Open(FleetMessenger& messenger) {
+  cr_assert(
+      messenger
+          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
+          .ok());
+}
+
+// Runs the first reads of a VM without seeds and returns its facts.
+Registry ReadFirstFacts(DrainingSource& source) {
+  Reactor reactor;
+  Registry registry;
+  FleetMessenger messenger(reactor, registry);
+  Open(messenger);
+  PlatformWatcher watcher(source, messenger, registry, {}, [] {});
+  watcher.Run();
+  return registry;
+}
+
 }  // namespace
 
+// The load: many pages over a slow link.
+Test(platform_watcher, a_long_first_read_is_followed_by_the_changes) {
+  DrainingSource source(Duration(300));
+  const Registry registry = ReadFirstFacts(source);
+  cr_expect(source.change_calls() == 1);
+  cr_expect(registry.as_of == 11);
+  cr_expect(registry.servers.at(Server(1).name).fact.draining);
+}
+
+Test(platform_watcher, a_short_first_read_needs_no_further_call) {
+  DrainingSource source(Duration(1));
+  cr_expect(ReadFirstFacts(source).as_of == 10);
+  cr_expect(source.change_calls() == 0);
+}
+
+// The loss: a route of this VM is wrong, and its revision does not show it.
+Test(platform_watcher, a_repair_replaces_facts_of_the_same_revision) {
+  DrainingSource source(Duration(0));
+  source.SetConfig({.limits = {.version = 1}, .routes = {Route(200)}});
+  Reactor reactor;
+  Registry registry = RegistryOf({Server(1)});
+  registry.routes.at(Route(200).address).fact = Route(200, "catalogue");
+  registry.digest = ComputeFactsDigest(registry);
+  FleetMessenger messenger(reactor, registry);
+  Open(messenger);
+  messenger.state().repair.needed = true;
+  bool changed = false;
+  PlatformWatcher watcher(source, messenger, registry, {},
+                          [&changed] { changed = true; });
+  cr_assert(watcher.ShouldRun(Now()));
+  watcher.Run();
+  cr_expect(changed);
+  cr_expect(registry.routes.at(Route(200).address).fact == Route(200));
+  cr_expect(not messenger.state().repair.needed);
+}
+
 Test(platform_watcher, a_late_response_of_an_earlier_era_confirms_nothing) {
   Reactor reactor;
   Registry registry = RegistryOf({Server(1)});
   LateSource source(registry);
   FleetMessenger messenger(reactor, registry);
-  cr_assert(
-      messenger
-          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
-          .ok());
+  Open(messenger);
   messenger.state().lagging_since = Now();
   PlatformWatcher watcher(source, messenger, registry, {}, [] {});
   watcher.Run();
@@ -192,14 +187,13 @@
   Registry registry = RegistryOf({Server(1)});
   cr_assert(registry.as_of == 10);
   FleetMessenger messenger(reactor, registry);
-  cr_assert(
-      messenger
-          .Open(1, {.address = *ParseIpAddress("127.0.0.1")}, "coimbra-a", {})
-          .ok());
+  Open(messenger);
   messenger.state().lagging_since = Now();
   PlatformWatcher watcher(source, messenger, registry, {}, [] {});
   watcher.Run();
   cr_expect(registry.as_of == Revision(1, 7));
+  cr_expect(messenger.state().repair == RepairState(),
+            "the next difference is acted on at once");
   cr_expect(not registry.servers.at(Server(2).name).removed);
   watcher.Run();
   cr_expect(source.reads() == 1);
