--- a/core/registry/changes_since.cc
+++ b/core/registry/changes_since.cc
@@ -25,22 +25,6 @@
 
 }  // namespace
 
-Revision RevisionInEra(const Registry& registry, Revision revision) {
-  return revision.era < registry.era_began_with.era ? registry.era_began_with
-                                                    : revision;
-}
-
-bool ReplacesConfig(const LimitsChange& change, const LimitsChange& present) {
-  const bool same_era = change.revision.era == present.revision.era;
-  if (same_era || present.revision == 0) {
-    return change.revision > present.revision;
-  }
-  if (change.limits.version != present.limits.version) {
-    return change.limits.version > present.limits.version;
-  }
-  return change.revision > present.revision;
-}
-
 bool HasChangesSince(const std::vector<RevisionSpan>& past_spans,
                      Revision horizon, Revision after) {
   return after >= horizon || std::any_of(past_spans.begin(), past_spans.end(),
--- a/core/registry/registry.cc
+++ b/core/registry/registry.cc
@@ -1,9 +1,8 @@
 #include "core/registry/registry.h"
 
 #include <algorithm>
-#include <iterator>
-#include <optional>
 #include <set>
+#include <type_traits>
 #include <utility>
 
 #include "core/registry/deferred_changes.h"
@@ -215,10 +214,11 @@
       continue;
     }
     own.last = span.last;
-    // Otherwise the facts at these revisions are not those of the store.
-    const bool settled = registry.deferred_servers.empty() &&
-                         registry.deferred_evacuations.empty();
-    if (settled) past.push_back(own);
+    // While changes wait, this VM's facts at a revision are not the store's,
+    // from which a peer's may come.
+    const bool has_deferred = !registry.deferred_servers.empty() ||
+                              !registry.deferred_evacuations.empty();
+    if (!has_deferred) past.push_back(own);
   }
   if (past.size() > kMaxPastSpans) {
     past.erase(past.begin(),
@@ -264,6 +264,22 @@
 
 }  // namespace
 
+Revision RevisionInEra(const Registry& registry, Revision revision) {
+  return revision.era < registry.era_began_with.era ? registry.era_began_with
+                                                    : revision;
+}
+
+bool ReplacesConfig(const LimitsChange& change, const LimitsChange& present) {
+  const bool same_era = change.revision.era == present.revision.era;
+  if (same_era || present.revision == 0) {
+    return change.revision > present.revision;
+  }
+  if (change.limits.version != present.limits.version) {
+    return change.limits.version > present.limits.version;
+  }
+  return change.revision > present.revision;
+}
+
 MergeResult MergeDelta(Registry& registry, const FactDelta& delta,
                        TimePoint now) {
   if (delta.as_of <= registry.as_of) return MergeResult::kUnchanged;
